--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -0,0 +1,42 @@
+package comfreypath.coordination.placement
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.routing.Endpoint
+
+private const val BOUND_FACTOR = 1.3
+private const val BOUND_SLACK = 2.0
+
+/**
+ * An endpoint that may take a request.
+ *
+ * @property hash of the endpoint's name
+ * @property load the requests that all routers are known to have at it
+ */
+class Candidate(val endpoint: Endpoint, val hash: Long, val load: Int)
+
+/**
+ * Chooses the endpoint for a request.
+ *
+ * Requests with equal prompts go to the same endpoint from every router, by rendezvous hashing, so that its cache
+ * serves them. An endpoint whose load exceeds a multiple of the mean is passed over for the next in the request's
+ * order; this answers a prompt that many callers use at once.
+ */
+object Placement {
+    /** The endpoint for a request whose shared prompt hashes to [key], or null when there is no candidate. */
+    fun byPrompt(candidates: List<Candidate>, key: Long): Candidate? {
+        if (candidates.isEmpty()) {
+            return null
+        }
+        val mean = candidates.sumOf { it.load }.toDouble() / candidates.size
+        val bound = BOUND_FACTOR * mean + BOUND_SLACK
+        return candidates.filter { it.load + 1 <= bound }.maxByOrNull { mix(key, it.hash) }
+            ?: candidates.minByOrNull { it.load }
+    }
+
+    /** The endpoint for a request that any endpoint serves alike: a near one with a free slot, else the least loaded. */
+    fun byLoad(candidates: List<Candidate>, near: DataCentreName, salt: Long): Candidate? {
+        val ordered = candidates.sortedWith(compareBy({ it.load.toDouble() / it.endpoint.slots }, { mix(salt, it.hash) }))
+        return ordered.firstOrNull { it.endpoint.dataCentre == near && it.load < it.endpoint.slots / 2 }
+            ?: ordered.firstOrNull()
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/Configuration.kt
@@ -0,0 +1,42 @@
+package comfreypath.coordination.routing
+
+import comfreypath.coordination.model.ServiceName
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import java.time.Duration
+
+/**
+ * The whole configuration that operators have put in force.
+ *
+ * @property version grows with each change; a router applies only a higher one
+ * @property teams null while requests need no key
+ */
+data class Configuration(
+    val version: Long,
+    val routes: ImmutableList<Route>,
+    val services: ImmutableMap<ServiceName, Service>,
+    val limits: CallerLimits,
+    val teams: ImmutableList<Team>?,
+)
+
+/**
+ * What callers may send and how long they may take.
+ *
+ * @property headerBytes the most bytes of a request's header lines
+ * @property bodyBytes the most bytes of a request's body
+ * @property headerTimeout the longest time from the first byte of a request to the end of its headers
+ * @property idleTimeout the longest time that a connection stays open without a request
+ */
+data class CallerLimits(
+    val headerBytes: Int = DEFAULT_HEADER_BYTES,
+    val bodyBytes: Int = DEFAULT_BODY_BYTES,
+    val headerTimeout: Duration = Duration.ofSeconds(DEFAULT_HEADER_SECONDS),
+    val idleTimeout: Duration = Duration.ofSeconds(DEFAULT_IDLE_SECONDS),
+) {
+    private companion object {
+        const val DEFAULT_HEADER_BYTES = 16_384
+        const val DEFAULT_BODY_BYTES = 4_194_304
+        const val DEFAULT_HEADER_SECONDS = 3L
+        const val DEFAULT_IDLE_SECONDS = 15L
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/RouteTable.kt
@@ -0,0 +1,19 @@
+package comfreypath.coordination.routing
+
+/** Finds the route of a request: of the host's routes the one with the longest prefix of the path. */
+class RouteTable(routes: Collection<Route>) {
+    private val hosts: Map<String, Map<String, Route>> = routes
+        .groupBy { it.host.lowercase() }
+        .mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
+
+    /** The route for [host], without regard to a port or to case, and [path], without its query; null if none. */
+    fun find(host: String, path: String): Route? {
+        val prefixes = hosts[host.substringBefore(':').lowercase()] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            prefixes[path.substring(0, end + 1)]?.let { return it }
+            end = path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/RequestCourse.kt
@@ -0,0 +1,95 @@
+package comfreypath.coordination.verdict
+
+import comfreypath.coordination.routing.Route
+import java.time.Duration
+import java.time.Instant
+
+private const val SERVER_ERROR = 500
+private const val LEAST_USEFUL_MILLISECONDS = 20L
+
+/**
+ * What is known about one request of a caller after its attempts so far.
+ *
+ * @property deadline when the caller, or the operator's timeout, ends the wait
+ * @property runs the attempts that may have run
+ * @property refusals the attempts that are known not to have run
+ */
+data class CourseState(
+    val route: Route,
+    val deadline: Instant,
+    val runs: Int = 0,
+    val refusals: Int = 0,
+    val last: AttemptOutcome? = null,
+)
+
+/** What is to be done with a request next. */
+sealed interface CourseAction {
+    /** Offer it to another endpoint. */
+    data object TryAnother : CourseAction
+
+    /** Give the caller the endpoint's answer. */
+    data object Deliver : CourseAction
+
+    /** Tell the caller that it has not run. */
+    data object RefuseNotRun : CourseAction
+
+    /** Tell the caller that it failed and may have run. */
+    data object FailMayHaveRun : CourseAction
+}
+
+/**
+ * Decides after each attempt whether a request is offered to another endpoint and, if not, what its caller is told.
+ *
+ * A request that may not be repeated is offered again only while every attempt is known not to have run.
+ *
+ * @property mostRefusals the most refusals after which a request is given up
+ */
+class RequestCourse(private val mostRefusals: Int) {
+    /** Takes the outcome of an attempt in; [mayRetry] tells whether the retry budget allows another one. */
+    fun after(
+        state: CourseState,
+        outcome: AttemptOutcome,
+        now: Instant,
+        mayRetry: Boolean,
+    ): Pair<CourseState, CourseAction> {
+        val next = when (outcome) {
+            is AttemptOutcome.NotSent, is AttemptOutcome.NotRun, AttemptOutcome.WrongEndpoint ->
+                state.copy(refusals = state.refusals + 1, last = outcome)
+            is AttemptOutcome.Unknown, is AttemptOutcome.Answered ->
+                state.copy(runs = state.runs + 1, last = outcome)
+        }
+        return next to actionFor(next, outcome, now, mayRetry)
+    }
+
+    private fun actionFor(
+        state: CourseState,
+        outcome: AttemptOutcome,
+        now: Instant,
+        mayRetry: Boolean,
+    ): CourseAction {
+        val timeLeft = Duration.between(now, state.deadline).toMillis() > LEAST_USEFUL_MILLISECONDS
+        val again = timeLeft && mayRetry
+        return when (outcome) {
+            is AttemptOutcome.Answered -> {
+                val failed = outcome.status >= SERVER_ERROR && state.route.repeatable
+                if (failed && again && state.runs < state.route.maxAttempts) {
+                    CourseAction.TryAnother
+                } else {
+                    CourseAction.Deliver
+                }
+            }
+            is AttemptOutcome.Unknown ->
+                if (again && state.route.repeatable && state.runs < state.route.maxAttempts) {
+                    CourseAction.TryAnother
+                } else {
+                    CourseAction.FailMayHaveRun
+                }
+            is AttemptOutcome.NotSent, is AttemptOutcome.NotRun, AttemptOutcome.WrongEndpoint ->
+                if (again && state.refusals <= mostRefusals) CourseAction.TryAnother else giveUp(state)
+        }
+    }
+
+    /** What a caller is told when no further endpoint is tried. */
+    fun giveUp(state: CourseState): CourseAction =
+        if (state.runs > 0) CourseAction.FailMayHaveRun else CourseAction.RefuseNotRun
+}
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/GivenSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/GivenSettings.kt
@@ -9,7 +9,10 @@
 import org.kohsuke.args4j.Option
 import org.kohsuke.args4j.spi.FieldSetter
 import org.kohsuke.args4j.spi.Setter
+import java.io.File
+import java.io.IOException
 import java.lang.reflect.AnnotatedElement
+import java.util.Properties
 
 /** The texts that were given for settings; flags win over environment variables. */
 class GivenSettings(private val texts: Map<String, String>) {
@@ -31,7 +34,13 @@
     fun textOf(setting: Setting<*>): String = texts[setting.name] ?: setting.default.orEmpty()
 
     companion object {
-        /** Reads flags and environment variables; the error is one line for a person. */
+        /** The environment variable that names a file of settings. */
+        const val FILE_VARIABLE = "COMFREYPATH_SETTINGS"
+
+        /**
+         * Reads flags, environment variables and, where [FILE_VARIABLE] names one, a file of `name=value` lines; flags
+         * win over variables, and these over the file. The error is one line for a person.
+         */
         fun read(
             settings: List<Setting<*>>,
             arguments: List<String>,
@@ -44,12 +53,20 @@
                 parser.parseArgument(arguments)
                 val variables = settings.filter { it.variable in environment }
                     .associate { it.name to environment.getValue(it.variable) }
-                Ok(GivenSettings(variables + flags))
+                Ok(GivenSettings(fileSettings(environment[FILE_VARIABLE]) + variables + flags))
             } catch (wrong: CmdLineException) {
                 Err(wrong.message.orEmpty().lineSequence().first())
+            } catch (unreadable: IOException) {
+                Err("the settings file ${environment[FILE_VARIABLE]} can't be read: ${unreadable.message}")
             }
         }
 
+        private fun fileSettings(path: String?): Map<String, String> {
+            val properties = Properties()
+            path?.let { File(it).reader().use(properties::load) }
+            return properties.stringPropertyNames().associateWith { properties.getProperty(it).trim() }
+        }
+
         private fun optionOf(setting: Setting<*>) = Option(
             name = setting.flag,
             usage = setting.description,
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
@@ -97,6 +97,24 @@
             allowed = "a number from ${range.start} to ${range.endInclusive}",
         ) { text -> text.toDoubleOrNull()?.takeIf { it in range } }
 
+        /** A setting that is a time with its unit, such as `1.5s` or `200ms`, over 0 and up to [most]. */
+        fun duration(name: String, description: String, default: Duration, most: Duration) = Setting(
+            name = name,
+            description = description,
+            unit = "time",
+            default = "${default.toMillis()}ms",
+            allowed = "a time such as 1.5s or 200ms, over 0, up to ${most.toSeconds()}s",
+        ) { text -> parseDuration(text)?.takeIf { it > Duration.ZERO && it <= most } }
+
+        private fun parseDuration(text: String): Duration? {
+            val milliseconds = when {
+                text.endsWith("ms") -> text.removeSuffix("ms").toDoubleOrNull()
+                text.endsWith("s") -> text.removeSuffix("s").toDoubleOrNull()?.times(MILLISECONDS_PER_SECOND)
+                else -> null
+            }
+            return milliseconds?.let { Duration.ofMillis(it.toLong()) }
+        }
+
         /** A setting that is a time in seconds, up to [most]. */
         fun seconds(name: String, description: String, default: Duration, most: Duration) = Setting(
             name = name,
--- a/router/src/main/kotlin/comfreypath/router/InternalApi.kt
+++ b/router/src/main/kotlin/comfreypath/router/InternalApi.kt
@@ -11,6 +11,8 @@
 import comfreypath.router.platform.ConfigurationHolder
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.start
+import comfreypath.transport.whole
 import comfreypath.transport.decodeJson
 import comfreypath.transport.json
 import io.netty.handler.codec.http.HttpResponseStatus
--- a/router/src/main/kotlin/comfreypath/router/RouterFront.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterFront.kt
@@ -11,6 +11,7 @@
 import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.whole
 import io.netty.handler.codec.http.HttpResponseStatus
 
 private const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
--- a/router/src/main/kotlin/comfreypath/router/entry/ChatSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/entry/ChatSink.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.entry
 
+import comfreypath.transport.start
 import comfreypath.coordination.model.Refusal
 import comfreypath.protocols.ChatCompletion
 import comfreypath.protocols.ChatCompletionChunk
--- a/router/src/main/kotlin/comfreypath/router/entry/ClaimedRun.kt
+++ b/router/src/main/kotlin/comfreypath/router/entry/ClaimedRun.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.entry
 
+import comfreypath.transport.whole
 import comfreypath.coordination.claims.AttemptId
 import comfreypath.coordination.claims.ClaimAnswer
 import comfreypath.coordination.claims.ClaimKey
--- a/router/src/main/kotlin/comfreypath/router/entry/PlainStage.kt
+++ b/router/src/main/kotlin/comfreypath/router/entry/PlainStage.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.entry
 
+import comfreypath.transport.whole
 import comfreypath.coordination.model.Refusal
 import comfreypath.coordination.model.RefusalCode
 import comfreypath.coordination.model.Route
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/node/NodeContext.kt
@@ -0,0 +1,33 @@
+package comfreypath.router.node
+
+import comfreypath.router.telemetry.EventLog
+import comfreypath.router.telemetry.NodeMetrics
+import comfreypath.transport.dispatcher
+import io.netty.channel.EventLoop
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import java.time.Instant
+import java.time.InstantSource
+
+/**
+ * What the parts of one router share. All of them run on [loop] alone, so that their state needs no lock.
+ *
+ * @property scope where work goes on that outlives the request that started it
+ */
+class NodeContext(
+    val options: NodeOptions,
+    val loop: EventLoop,
+    val clock: InstantSource,
+    val log: EventLog,
+    val metrics: NodeMetrics,
+) {
+    val scope = CoroutineScope(
+        loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure ->
+            log.record("task_failed", "error" to failure.toString())
+        },
+    )
+
+    /** The time now. */
+    fun now(): Instant = clock.instant()
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/node/NodeOptions.kt
@@ -0,0 +1,61 @@
+package comfreypath.router.node
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import comfreypath.transport.Address
+import java.time.Duration
+
+private const val CONNECTIONS = 3_000
+private const val CONNECT_MILLISECONDS = 300L
+private const val STORE_CALL_MILLISECONDS = 1_500L
+private const val WATCH_MILLISECONDS = 2_500L
+private const val DRAIN_MILLISECONDS = 6_500L
+private const val REVOCATION_MILLISECONDS = 5_000L
+
+/**
+ * Everything that one router is told at its start.
+ *
+ * @property name the instance's name, unique in the fleet
+ * @property dataCentre where the instance stands
+ * @property callerAddress where callers' requests arrive
+ * @property readinessAddress where the platform asks whether callers may be sent here
+ * @property peerAddress where datagrams of other routers arrive
+ * @property metricsAddress where metrics are served
+ * @property objectStore the platform's object store
+ */
+data class NodeOptions(
+    val name: InstanceName,
+    val dataCentre: DataCentreName,
+    val callerAddress: Address,
+    val readinessAddress: Address,
+    val peerAddress: Address,
+    val metricsAddress: Address,
+    val objectStore: Address,
+    val connections: Int = CONNECTIONS,
+    val timeouts: NodeTimeouts = NodeTimeouts(),
+    val bounds: ServiceBounds = ServiceBounds(),
+)
+
+/**
+ * Times that a router allows itself and others.
+ *
+ * @property connect the longest wait for a connection to an endpoint
+ * @property storeCall the longest wait for the store's answer to a call
+ * @property watch how long a watch on the store waits for a change
+ * @property drain the longest time for which a router that is stopping finishes requests
+ */
+data class NodeTimeouts(
+    val connect: Duration = Duration.ofMillis(CONNECT_MILLISECONDS),
+    val storeCall: Duration = Duration.ofMillis(STORE_CALL_MILLISECONDS),
+    val watch: Duration = Duration.ofMillis(WATCH_MILLISECONDS),
+    val drain: Duration = Duration.ofMillis(DRAIN_MILLISECONDS),
+)
+
+/**
+ * What the operators of a deployment demand of the fleet.
+ *
+ * @property revocation the time after which a key that was taken away is used by no router, in touch or not
+ */
+data class ServiceBounds(
+    val revocation: Duration = Duration.ofMillis(REVOCATION_MILLISECONDS),
+)
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/node/RouterNode.kt
@@ -0,0 +1,158 @@
+package comfreypath.router.node
+
+import comfreypath.router.request.CallerDialect
+import comfreypath.router.request.CallerExchange
+import comfreypath.router.request.EndpointDialect
+import comfreypath.router.request.EndpointSelector
+import comfreypath.router.request.KeyFilter
+import comfreypath.router.request.Refusal
+import comfreypath.router.request.RelayStage
+import comfreypath.router.request.RequestPipeline
+import comfreypath.router.request.RouteFilter
+import comfreypath.router.request.pipeline
+import comfreypath.router.sending.EndpointLedger
+import comfreypath.router.sending.EndpointSender
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.telemetry.EventLog
+import comfreypath.router.telemetry.NodeMetrics
+import comfreypath.router.view.ClusterView
+import comfreypath.router.view.ConfigurationProbe
+import comfreypath.router.view.ConfigurationSink
+import comfreypath.router.view.StoreFollower
+import comfreypath.transport.ConnectionPool
+import comfreypath.transport.HttpConnector
+import comfreypath.transport.HttpServer
+import comfreypath.transport.HttpServerOptions
+import comfreypath.transport.IncomingRequest
+import comfreypath.transport.ResponseWriter
+import comfreypath.transport.whole
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.time.Duration
+
+private const val SWEEP_MILLISECONDS = 500L
+private const val STOP_POLL_MILLISECONDS = 20L
+private const val LEAVE_NOTICE_MILLISECONDS = 2_500L
+
+/** The adapters of the wire formats that a router speaks. */
+class WireFormats(val callers: CallerDialect, val endpoints: EndpointDialect)
+
+/**
+ * One router: takes callers' requests and sends them to endpoints, as the platform's store tells.
+ *
+ * Everything runs on [loop]'s thread; call [start] and [stop] from coroutines on it.
+ */
+class RouterNode(
+    options: NodeOptions,
+    loop: EventLoop,
+    formats: WireFormats,
+    storeFor: (NodeContext, HttpConnector) -> ObjectStore,
+) {
+    private val clock = SteadyClock()
+    private val log = EventLog(options.name, clock)
+    private val context = NodeContext(options, loop, clock, log, NodeMetrics())
+    private val connector = HttpConnector(loop)
+    private val store = storeFor(context, connector)
+    private val view = ClusterView(context)
+    private val configurationSink = ConfigurationSink(context, view)
+    private val probe = ConfigurationProbe(context, store, configurationSink)
+    private val pool = ConnectionPool(connector, clock)
+    private val ledger = EndpointLedger()
+    private val selector = EndpointSelector(view, ledger, options.dataCentre)
+    private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
+    private val requests: RequestPipeline = RequestPipeline(context, formats.callers, stages())
+    private val callers = HttpServer(loop, ::callerLimits, requests::handle)
+    private val readiness = HttpServer(loop, HttpServerOptions(), ::tellReadiness)
+    private val metrics = HttpServer(loop, HttpServerOptions(), ::tellMetrics)
+    private var stopping = false
+
+    private fun stages() = pipeline(
+        listOf(
+            RouteFilter(view, probe, ::refuse)::filter,
+            KeyFilter(view, probe, context.options.bounds.revocation.minus(KEY_MARGIN), ::refuse)::filter,
+        ),
+        RelayStage(context, selector, sender, ::refuse)::relay,
+    )
+
+    private suspend fun refuse(exchange: CallerExchange, refusal: Refusal) = requests.refuse(exchange, refusal)
+
+    /** Listens and starts to follow the store. */
+    suspend fun start() {
+        val options = context.options
+        log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
+        StoreFollower(context, store, ObjectKinds.CONFIGURATION, configurationSink).start()
+        StoreFollower(context, store, ObjectKinds.ENDPOINTS, view.endpoints).start()
+        StoreFollower(context, store, ObjectKinds.ROLLOUTS, view.rollouts).start()
+        StoreFollower(context, store, ObjectKinds.EVACUATIONS, view.evacuations).start()
+        probe.start()
+        callers.start(options.callerAddress)
+        readiness.start(options.readinessAddress)
+        metrics.start(options.metricsAddress)
+        context.scope.launch { sweep() }
+        log.record("started")
+    }
+
+    private suspend fun sweep() {
+        while (true) {
+            delay(SWEEP_MILLISECONDS)
+            pool.sweep()
+            ledger.retain { view.endpoint(it) != null }
+        }
+    }
+
+    /** Stops gracefully: reports not ready, finishes what it has, and leaves. */
+    suspend fun stop() {
+        stopping = true
+        val deadline = context.now() + context.options.timeouts.drain
+        log.record("stopping", "inProgress" to requests.inProgress)
+        delay(LEAVE_NOTICE_MILLISECONDS)
+        callers.closeAfterResponse = true
+        callers.stopAccepting()
+        while (context.now() < deadline && (requests.inProgress > 0 || callers.connectionCount > 0)) {
+            callers.closeIdle()
+            delay(STOP_POLL_MILLISECONDS)
+        }
+        log.record("stopped", "inProgress" to requests.inProgress)
+        readiness.stop()
+        metrics.stop()
+        callers.stop()
+        context.scope.cancel()
+    }
+
+    private fun callerLimits(): HttpServerOptions {
+        val limits = view.configuration?.value?.limits
+        val defaults = HttpServerOptions(connections = context.options.connections)
+        return if (limits == null) {
+            defaults
+        } else {
+            defaults.copy(
+                headerBytes = limits.headerBytes,
+                bodyBytes = limits.bodyBytes,
+                receiveTimeout = limits.headerTimeout,
+                idleTimeout = limits.idleTimeout,
+            )
+        }
+    }
+
+    private fun ready(): Boolean = !stopping && view.configuration != null && view.endpoints.confirmedAt != null
+
+    private suspend fun tellReadiness(request: IncomingRequest, writer: ResponseWriter) {
+        val status = if (ready()) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+        writer.whole(status, mapOf("content-type" to "text/plain"), "${request.path}\n".encodeToByteArray())
+    }
+
+    private suspend fun tellMetrics(request: IncomingRequest, writer: ResponseWriter) {
+        val found = request.path == "/metrics"
+        val status = if (found) HttpResponseStatus.OK else HttpResponseStatus.NOT_FOUND
+        val body = if (found) context.metrics.text() else ByteArray(0)
+        writer.whole(status, mapOf("content-type" to "text/plain; version=0.0.4; charset=utf-8"), body)
+    }
+
+    private companion object {
+        val KEY_MARGIN: Duration = Duration.ofMillis(500)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -0,0 +1,77 @@
+package comfreypath.router.request
+
+import comfreypath.router.view.ClusterView
+import comfreypath.router.view.ConfigurationProbe
+import java.time.Duration
+
+private const val NOT_READY_RETRY_MILLISECONDS = 500L
+
+/** The age up to which the configuration can deny that a route or a key exists. */
+private val DENIAL_AGE: Duration = Duration.ofMillis(1_000)
+
+private fun notReady(detail: String) =
+    Refusal(RefusalCode.NOT_READY, detail, Duration.ofMillis(NOT_READY_RETRY_MILLISECONDS))
+
+/** Finds the route of a request. A route is denied only while the configuration is known to be fresh. */
+class RouteFilter(
+    private val view: ClusterView,
+    private val probe: ConfigurationProbe,
+    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+) {
+    /** Hands requests on that have a route. */
+    suspend fun filter(exchange: CallerExchange, next: Stage) {
+        if (view.configuration == null) {
+            refuse(exchange, notReady("no configuration is known yet"))
+            return
+        }
+        val route = find(exchange) ?: if (probe.confirmed(view, DENIAL_AGE)) find(exchange) else {
+            refuse(exchange, notReady("the configuration may be out of date"))
+            return
+        }
+        if (route == null) {
+            refuse(exchange, Refusal(RefusalCode.UNKNOWN_ROUTE, "no route leads to ${exchange.request.path}"))
+            return
+        }
+        exchange.route = route
+        exchange.priority = route.priority
+        next(exchange)
+    }
+
+    private fun find(exchange: CallerExchange) = view.routes.find(exchange.request.host, exchange.request.path)
+}
+
+/**
+ * Finds the team that holds a caller's key.
+ *
+ * A key counts only while the configuration was the newest one less than [longestAge] ago, so that a key that was
+ * taken away is refused in time even on a router that hears nothing.
+ */
+class KeyFilter(
+    private val view: ClusterView,
+    private val probe: ConfigurationProbe,
+    private val longestAge: Duration,
+    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+) {
+    /** Hands requests on whose key is held by a team, and those that need none. */
+    suspend fun filter(exchange: CallerExchange, next: Stage) {
+        val checked = view.configuration?.value?.teams != null && !exchange.route.public
+        if (!checked) {
+            next(exchange)
+            return
+        }
+        val key = exchange.request.apiKey
+        val needed = if (key != null && view.teams.find(key) != null) longestAge else DENIAL_AGE
+        if (!probe.confirmed(view, needed)) {
+            refuse(exchange, notReady("the keys in force are not known"))
+            return
+        }
+        val team = key?.let { view.teams.find(it) }
+        if (team == null) {
+            refuse(exchange, Refusal(RefusalCode.UNKNOWN_KEY, "no team holds the key"))
+            return
+        }
+        exchange.team = team.name
+        exchange.priority = team.priority ?: exchange.priority
+        next(exchange)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerDialect.kt
@@ -0,0 +1,19 @@
+package comfreypath.router.request
+
+import com.github.michaelbull.result.Result
+import comfreypath.coordination.model.RequestId
+import comfreypath.transport.IncomingRequest
+import io.netty.handler.codec.http.HttpHeaders
+import java.time.Instant
+
+/** How callers put requests and how refusals are told to them: the adapter of one wire format. */
+interface CallerDialect {
+    /** Reads a request; the error says what is wrong with it. */
+    fun read(request: IncomingRequest, receivedAt: Instant): Result<CallerRequest, Refusal>
+
+    /** Writes a refusal. */
+    fun encode(refusal: Refusal, request: RequestId?): WholeAnswer
+}
+
+/** An answer with its whole body. */
+class WholeAnswer(val status: Int, val headers: HttpHeaders, val body: ByteArray)
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
@@ -0,0 +1,26 @@
+package comfreypath.router.request
+
+import comfreypath.coordination.model.TeamName
+import comfreypath.coordination.routing.Configuration
+import comfreypath.coordination.routing.Route
+import comfreypath.transport.ResponseWriter
+import java.time.Instant
+
+/** A caller's request on its way through the filters, and where its answer goes. */
+class CallerExchange(val request: CallerRequest, val writer: ResponseWriter) {
+    /** The configuration by which the request is handled. */
+    lateinit var configuration: Configuration
+
+    /** The route that the request takes. */
+    lateinit var route: Route
+
+    /** The team that holds the caller's key; null on public routes. */
+    var team: TeamName? = null
+
+    /** The rank of the request among others; 0 is the most urgent. */
+    var priority: Int = 0
+
+    /** When the caller or the operator's timeout ends the wait. */
+    val deadline: Instant
+        get() = request.receivedAt + (request.patience?.coerceAtMost(route.timeout) ?: route.timeout)
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/Filter.kt
@@ -0,0 +1,11 @@
+package comfreypath.router.request
+
+/** Handles a caller's request to its end. */
+typealias Stage = suspend (CallerExchange) -> Unit
+
+/** Handles a caller's request or hands it on to the next stage. */
+typealias Filter = suspend (CallerExchange, Stage) -> Unit
+
+/** Puts the filters before [last], the first of them outermost. */
+fun pipeline(filters: List<Filter>, last: Stage): Stage =
+    filters.foldRight(last) { filter, next -> { exchange -> filter(exchange, next) } }
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -0,0 +1,57 @@
+package comfreypath.router.request
+
+import com.github.michaelbull.result.fold
+import comfreypath.coordination.model.RequestId
+import comfreypath.router.node.NodeContext
+import comfreypath.transport.IncomingRequest
+import comfreypath.transport.ResponseWriter
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.time.Duration
+
+/** The path of a caller's request: reading it, the filters, and the relay to an endpoint. */
+class RequestPipeline(
+    private val context: NodeContext,
+    private val dialect: CallerDialect,
+    private val stages: Stage,
+) {
+    /** The requests in progress. */
+    var inProgress: Int = 0
+        private set
+
+    /** Answers a caller's request. */
+    suspend fun handle(incoming: IncomingRequest, writer: ResponseWriter) {
+        inProgress += 1
+        context.metrics.inProgress.set(inProgress.toDouble())
+        try {
+            dialect.read(incoming, context.now()).fold(
+                success = { request -> stages(CallerExchange(request, writer)) },
+                failure = { refusal -> write(refusal, null, writer) },
+            )
+        } finally {
+            inProgress -= 1
+            context.metrics.inProgress.set(inProgress.toDouble())
+        }
+    }
+
+    /** Tells a caller that its request gets no answer of an endpoint. */
+    suspend fun refuse(exchange: CallerExchange, refusal: Refusal) {
+        val waited = Duration.between(exchange.request.receivedAt, context.now()).toMillis()
+        context.log.record(
+            "refused",
+            "request" to exchange.request.id,
+            "code" to refusal.code.text,
+            "detail" to refusal.detail,
+            "waitedMs" to waited,
+        )
+        write(refusal, exchange.request.id, exchange.writer)
+    }
+
+    private suspend fun write(refusal: Refusal, id: RequestId?, writer: ResponseWriter) {
+        context.metrics.refused.labelValues(refusal.code.text).inc()
+        if (id == null) {
+            context.log.record("refused", "code" to refusal.code.text, "detail" to refusal.detail)
+        }
+        val answer = dialect.encode(refusal, id)
+        writer.whole(HttpResponseStatus.valueOf(answer.status), answer.headers, answer.body)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -0,0 +1,73 @@
+package comfreypath.router.request
+
+import comfreypath.router.sending.EndpointExchange
+import comfreypath.transport.BreakReason
+import comfreypath.transport.ResponsePart
+import comfreypath.transport.ResponseWriter
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.io.ByteArrayOutputStream
+
+/** How a part of a stream that one endpoint sent has ended. */
+sealed interface StreamEnd {
+    /** The endpoint has sent the whole stream. */
+    data object Complete : StreamEnd
+
+    /** The endpoint's stream broke off. */
+    data class Broken(val reason: BreakReason) : StreamEnd
+}
+
+/**
+ * Passes a stream of events on to a caller, event by event, from one endpoint after the other.
+ *
+ * Only whole events are passed on, so that a stream that breaks in the middle of an event can go on from the last
+ * whole one. The head is written with the first event: until then nothing binds the caller to this endpoint.
+ */
+class StreamRelay(private val writer: ResponseWriter, private val head: EndpointHead) {
+    /** The last event that was passed on; null before the first. */
+    var lastEvent: Long? = null
+        private set
+
+    /** True once the caller has seen the head. */
+    var started = false
+        private set
+
+    /** Passes on what [exchange] brings until its end. */
+    suspend fun pass(exchange: EndpointExchange): StreamEnd {
+        val splitter = EventSplitter()
+        while (true) {
+            when (val part = exchange.next()) {
+                is ResponsePart.Bytes -> write(splitter.feed(part.bytes))
+                is ResponsePart.Head -> return StreamEnd.Broken(BreakReason.MALFORMED)
+                is ResponsePart.Broken -> return StreamEnd.Broken(part.reason)
+                ResponsePart.End -> {
+                    start()
+                    writer.end()
+                    return StreamEnd.Complete
+                }
+            }
+        }
+    }
+
+    private suspend fun write(events: List<StreamEvent>) {
+        val bytes = ByteArrayOutputStream()
+        events.forEach { event ->
+            val last = lastEvent
+            val repeated = event.id != null && last != null && event.id <= last
+            if (!repeated) {
+                bytes.writeBytes(event.bytes)
+                lastEvent = event.id ?: last
+            }
+        }
+        if (bytes.size() > 0) {
+            start()
+            writer.piece(bytes.toByteArray())
+        }
+    }
+
+    private suspend fun start() {
+        if (!started) {
+            started = true
+            writer.start(HttpResponseStatus.valueOf(head.status), head.forwarded)
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/NodeMetrics.kt
@@ -0,0 +1,56 @@
+package comfreypath.router.telemetry
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+private const val FIRST_BUCKET_SECONDS = 0.002
+private const val BUCKET_FACTOR = 2.0
+private const val BUCKETS = 14
+
+/** The metrics of one router, for Prometheus. */
+class NodeMetrics {
+    private val registry = PrometheusRegistry()
+
+    /** Requests answered by an endpoint, by the route's kind and the status. */
+    val answered: Counter = counter("comfreypath_answered_total", "Requests answered.", "kind", "status")
+
+    /** Requests refused or failed by the router, by code. */
+    val refused: Counter = counter("comfreypath_refused_total", "Requests refused.", "code")
+
+    /** Attempts at endpoints, by outcome. */
+    val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
+
+    /** Calls to the platform's store, by verb, kind and outcome. */
+    val storeCalls: Counter = counter("comfreypath_store_calls_total", "Calls to the store.", "verb", "kind", "outcome")
+
+    /** Requests in progress. */
+    val inProgress: Gauge = gauge("comfreypath_in_progress", "Requests in progress.")
+
+    /** The configuration version in force. */
+    val configurationVersion: Gauge = gauge("comfreypath_configuration_version", "Configuration version in force.")
+
+    /** Seconds from a request's arrival to its answer, or to a stream's first event. */
+    val latency: Histogram = Histogram.builder()
+        .name("comfreypath_latency_seconds")
+        .help("Time from a request's arrival to its answer or first event.")
+        .labelNames("kind")
+        .classicOnly()
+        .classicExponentialUpperBounds(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS)
+        .register(registry)
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).also { it.labelNames(*labels) }.register(registry)
+
+    private fun gauge(name: String, help: String): Gauge = Gauge.builder().name(name).help(help).register(registry)
+
+    /** The metrics in Prometheus' text format. */
+    fun text(): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(bytes, registry.scrape())
+        return bytes.toByteArray()
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -0,0 +1,72 @@
+package comfreypath.router.view
+
+import com.github.michaelbull.result.fold
+import comfreypath.router.node.NodeContext
+import comfreypath.router.store.ObjectChange
+import comfreypath.router.store.StoredObject
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import java.time.Instant
+
+/** The objects of one kind as the store last had them. */
+class KindView<T : Any>(private val context: NodeContext, private val label: String) : StoreSink<T> {
+    /** The objects that can be read, by name. */
+    var values: PersistentMap<String, T> = persistentMapOf()
+        private set
+
+    /** The store's revision at which [values] held. */
+    var revision: Long = 0
+        private set
+
+    /** A time at which the store had said nothing newer than [values]; null until a list arrived. */
+    var confirmedAt: Instant? = null
+        private set
+
+    private val listeners = mutableListOf<() -> Unit>()
+
+    /** Calls [listener] after each change. */
+    fun onChange(listener: () -> Unit) {
+        listeners += listener
+    }
+
+    override fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant) {
+        val readable = HashMap<String, T>()
+        objects.forEach { stored -> readable(stored)?.let { readable[stored.name] = it } }
+        val before = values
+        values = readable.toPersistentMap()
+        this.revision = revision
+        this.confirmedAt = confirmedAt
+        if (before != values) {
+            context.log.record("${label}s_listed", "count" to values.size, "revision" to revision)
+            listeners.forEach { it() }
+        }
+    }
+
+    override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
+        changes.forEach { change ->
+            val value = if (change.removed) null else readable(change.changed)
+            val name = change.changed.name
+            values = if (value == null) values.remove(name) else values.put(name, value)
+            context.log.record(
+                if (value == null) "${label}_removed" else "${label}_changed",
+                label to name,
+                "revision" to change.changed.revision,
+                "value" to value,
+            )
+        }
+        this.revision = maxOf(revision, this.revision)
+        this.confirmedAt = confirmedAt
+        if (changes.isNotEmpty()) {
+            listeners.forEach { it() }
+        }
+    }
+
+    private fun readable(stored: StoredObject<T>): T? = stored.value.fold(
+        success = { it },
+        failure = { reason ->
+            context.log.record("${label}_unreadable", label to stored.name, "reason" to reason)
+            null
+        },
+    )
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -0,0 +1,44 @@
+package comfreypath.router.view
+
+import com.github.michaelbull.result.fold
+import comfreypath.coordination.routing.Configuration
+import comfreypath.router.node.NodeContext
+import comfreypath.router.store.ObjectChange
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.StoredObject
+import java.time.Instant
+
+/** Takes what a [StoreFollower] learns of the objects of one kind. */
+interface StoreSink<T : Any> {
+    /** Takes a whole list, as the store had it at [revision], no earlier than [confirmedAt]. */
+    fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant)
+
+    /** Takes the changes up to [revision]; there may be none. */
+    fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant)
+}
+
+/** Puts configurations in force. */
+class ConfigurationSink(private val context: NodeContext, private val view: ClusterView) : StoreSink<Configuration> {
+    override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) =
+        objects.forEach { take(it, confirmedAt) }
+
+    override fun apply(changes: List<ObjectChange<Configuration>>, revision: Long, confirmedAt: Instant) {
+        changes.filterNot { it.removed }.forEach { take(it.changed, confirmedAt) }
+        if (changes.isEmpty()) {
+            view.confirmConfiguration(confirmedAt)
+        }
+    }
+
+    /** Takes the configuration's object as it was read no earlier than [confirmedAt]. */
+    fun take(stored: StoredObject<Configuration>, confirmedAt: Instant) {
+        if (stored.name != ObjectKinds.CONFIGURATION_NAME) {
+            return
+        }
+        stored.value.fold(
+            success = { view.takeConfiguration(it, stored.revision, confirmedAt) },
+            failure = {
+                context.log.record("configuration_unreadable", "reason" to it, "revision" to stored.revision)
+            },
+        )
+    }
+}
--- a/stand-ins/src/main/kotlin/comfreypath/standins/EngineStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/EngineStandIn.kt
@@ -10,6 +10,7 @@
 import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.whole
 import comfreypath.transport.decodeJson
 import comfreypath.transport.json
 import io.netty.channel.EventLoop
--- a/stand-ins/src/main/kotlin/comfreypath/standins/EngineStreams.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/EngineStreams.kt
@@ -7,6 +7,8 @@
 import comfreypath.protocols.wireJson
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.start
+import comfreypath.transport.whole
 import comfreypath.transport.decodeJson
 import io.netty.handler.codec.http.HttpResponseStatus
 
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreCalls.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreCalls.kt
@@ -4,6 +4,7 @@
 import comfreypath.protocols.PlatformObject
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.whole
 import comfreypath.transport.decodeJson
 import comfreypath.transport.json
 import io.netty.handler.codec.http.HttpMethod
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreWatch.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreWatch.kt
@@ -6,6 +6,7 @@
 import comfreypath.protocols.WatchEventType
 import comfreypath.protocols.wireJson
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.start
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.JsonObject
--- /dev/null
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionPool.kt
@@ -0,0 +1,108 @@
+package comfreypath.transport
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+
+/** A connection taken from a pool; [reused] tells whether it carried an exchange before. */
+class PooledConnection(val connection: HttpConnection, val reused: Boolean)
+
+/** Keeps the idle connections to each address, confined to the connector's event loop. */
+class ConnectionPool(private val connector: HttpConnector, private val clock: InstantSource) {
+    private val idle = HashMap<Address, ArrayDeque<Idle>>()
+    private val counts = HashMap<Address, Int>()
+
+    private class Idle(val connection: HttpConnection, val until: Instant, val since: Instant)
+
+    /** The connections to [address] that are open or being opened. */
+    fun open(address: Address): Int = counts[address] ?: 0
+
+    /** The idle connections to [address]. */
+    fun idle(address: Address): Int = idle[address]?.size ?: 0
+
+    /**
+     * Takes an idle connection that rested no longer than [longestRest], or opens one, waiting [timeout] at the most.
+     */
+    suspend fun take(
+        address: Address,
+        longestRest: Duration,
+        timeout: Duration,
+    ): Result<PooledConnection, ExchangeFailure.ConnectFailed> {
+        val reused = takeIdle(address, longestRest)
+        if (reused != null) {
+            return Ok(PooledConnection(reused, reused = true))
+        }
+        counts.merge(address, 1, Int::plus)
+        var opened = false
+        try {
+            return connector.connect(address, timeout).map {
+                opened = true
+                PooledConnection(it, reused = false)
+            }
+        } finally {
+            if (!opened) {
+                forgetOne(address)
+            }
+        }
+    }
+
+    private fun takeIdle(address: Address, longestRest: Duration): HttpConnection? {
+        val resting = idle[address] ?: return null
+        val now = clock.instant()
+        while (resting.isNotEmpty()) {
+            val candidate = resting.last()
+            val usable = candidate.connection.clean && now < candidate.until
+            if (usable && Duration.between(candidate.since, now) > longestRest) {
+                return null
+            }
+            resting.removeLast()
+            if (usable) {
+                return candidate.connection
+            }
+            discard(candidate.connection)
+        }
+        return null
+    }
+
+    /** Gives a connection back for at most [rest], or closes it when it can't carry another exchange. */
+    fun release(connection: HttpConnection, rest: Duration, most: Int) {
+        connection.finish()
+        val resting = idle.getOrPut(connection.address) { ArrayDeque() }
+        val now = clock.instant()
+        if (connection.clean && resting.size < most) {
+            resting.addLast(Idle(connection, now + rest, now))
+        } else {
+            discard(connection)
+        }
+    }
+
+    /** Closes a connection. */
+    fun discard(connection: HttpConnection) {
+        connection.close()
+        forgetOne(connection.address)
+    }
+
+    /** Closes the connections that have rested too long or were closed by the other end. */
+    fun sweep() {
+        val now = clock.instant()
+        idle.values.forEach { resting ->
+            resting.filter { !it.connection.clean || now >= it.until }.forEach {
+                resting.remove(it)
+                discard(it.connection)
+            }
+        }
+        idle.values.removeIf { it.isEmpty() }
+    }
+
+    /** Closes the idle connections to [address]. */
+    fun forget(address: Address) {
+        idle.remove(address)?.forEach { discard(it.connection) }
+    }
+
+    private fun forgetOne(address: Address) {
+        counts.computeIfPresent(address) { _, count -> (count - 1).takeIf { it > 0 } }
+    }
+}
--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
@@ -19,13 +20,14 @@
     private val gate: WriteGate,
     private val keep: () -> Boolean,
 ) : ResponseWriter {
+    private var closes = false
     override var started = false
         private set
-    val keepAlive: Boolean get() = keep()
+    val keepAlive: Boolean get() = !closes && keep()
     var ended = false
         private set
 
-    override suspend fun whole(status: HttpResponseStatus, headers: Map<String, String>, body: ByteArray) {
+    override suspend fun whole(status: HttpResponseStatus, headers: HttpHeaders, body: ByteArray) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
         addHeaders(response, headers)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
@@ -34,17 +36,22 @@
         flush(response)
     }
 
-    override suspend fun start(status: HttpResponseStatus, headers: Map<String, String>) {
+    override suspend fun start(status: HttpResponseStatus, headers: HttpHeaders, length: Long?) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         addHeaders(response, headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (length == null) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        } else {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
+        }
         started = true
         flush(response)
     }
 
-    private fun addHeaders(response: HttpResponse, headers: Map<String, String>) {
-        headers.forEach { (name, value) -> response.headers().set(name, value) }
+    private fun addHeaders(response: HttpResponse, headers: HttpHeaders) {
+        response.headers().add(headers)
         if (!keepAlive) {
+            closes = true
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
     }
@@ -61,6 +68,7 @@
 
     override fun abort() {
         started = true
+        closes = true
         context.close()
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -11,29 +11,40 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
-import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import java.io.IOException
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 
 private const val ACCEPT_BACKLOG = 1_024
 
-/** An HTTP/1.1 server whose connections and handlers all run on one event loop. */
+/**
+ * An HTTP/1.1 server whose connections and handlers all run on one event loop.
+ *
+ * @param options gives the limits for a connection when it opens, so that they can change while the server runs
+ */
 class HttpServer(
     private val loop: EventLoop,
-    private val options: HttpServerOptions,
+    private val options: () -> HttpServerOptions,
     private val handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(loop)
     private val scope = CoroutineScope(loop.dispatcher() + SupervisorJob())
     private var listener: Channel? = null
 
+    constructor(
+        loop: EventLoop,
+        options: HttpServerOptions,
+        handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
+    ) : this(loop, { options }, handler)
+
     /** While true, each response closes its connection, so that callers go elsewhere. */
     var closeAfterResponse: Boolean = false
 
+    /** The connections that are open. */
+    val connectionCount: Int get() = connections.size
+
     /** Listens on [address] (port 0 for any free one) and returns the address in use; throws [IOException] if taken. */
     suspend fun start(address: Address): Address {
         val bound = ServerBootstrap()
@@ -56,6 +67,11 @@
         listener?.close()?.succeeded()
     }
 
+    /** Closes the connections that carry no request. */
+    fun closeIdle() {
+        connections.mapNotNull { it.pipeline().get(ServerConnection::class.java) }.forEach { it.closeIfIdle() }
+    }
+
     /** Closes the listener and every connection, cutting what is in progress. */
     suspend fun stop() {
         stopAccepting()
@@ -65,18 +81,20 @@
 
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            if (connections.size >= options.connections) {
+            val limits = options()
+            if (connections.size >= limits.connections) {
                 channel.close()
                 return
             }
             connections.add(channel)
             val gate = WriteGate()
+            val timer = ReceiveTimer(limits)
             channel.pipeline()
-                .addLast(ReadTimeoutHandler(options.idleTimeout.toMillis(), TimeUnit.MILLISECONDS))
-                .addLast(StrictRequestDecoder(options.headerBytes))
+                .addLast(timer)
+                .addLast(StrictRequestDecoder(limits.headerBytes))
                 .addLast(HttpResponseEncoder())
                 .addLast(gate)
-                .addLast(ServerConnection(scope, options, { !closeAfterResponse }, gate, handler))
+                .addLast(ServerConnection(scope, limits, { !closeAfterResponse }, ConnectionParts(gate, timer), handler))
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -15,35 +15,39 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
-import io.netty.handler.timeout.ReadTimeoutException
-import io.netty.util.concurrent.Future
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.io.ByteArrayOutputStream
 import java.io.IOException
-import java.util.concurrent.TimeUnit
 
 private const val PIPELINED_REQUESTS = 16
 
+/** The handlers of a connection that its [ServerConnection] works with. */
+internal class ConnectionParts(val gate: WriteGate, val timer: ReceiveTimer)
+
 /** One server connection: gathers whole requests and runs the handler for one at a time, in order. */
 internal class ServerConnection(
     private val scope: CoroutineScope,
     private val options: HttpServerOptions,
     private val keepConnections: () -> Boolean,
-    private val gate: WriteGate,
+    private val parts: ConnectionParts,
     private val handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream()
-    private var receiveDeadline: Future<*>? = null
     private val waiting = ArrayDeque<PendingRequest>()
     private var running: Job? = null
     private var closing = false
+    private var connection: ChannelHandlerContext? = null
 
     private class PendingRequest(val message: IncomingRequest, val keepAlive: Boolean)
 
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        connection = context
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (closing) {
             return
@@ -64,11 +68,7 @@
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
         head = request
         body = ByteArrayOutputStream()
-        receiveDeadline = context.executor().schedule(
-            { reject(context, HttpRejection.TOO_SLOW) },
-            options.receiveTimeout.toMillis(),
-            TimeUnit.MILLISECONDS,
-        )
+        parts.timer.bodyArrives(context)
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
@@ -83,11 +83,13 @@
         bytes.readBytes(body, bytes.readableBytes())
         if (content is LastHttpContent) {
             complete(context)
+        } else {
+            parts.timer.bodyArrives(context)
         }
     }
 
     private fun complete(context: ChannelHandlerContext) {
-        receiveDeadline?.cancel(false)
+        parts.timer.requestArrived()
         val request = head ?: return
         head = null
         val message = IncomingRequest(request.method(), request.uri(), request.headers(), body.toByteArray())
@@ -103,8 +105,12 @@
         if (running != null) {
             return
         }
-        val next = waiting.removeFirstOrNull() ?: return
-        val writer = ConnectionWriter(context, gate) { next.keepAlive && keepConnections() }
+        val next = waiting.removeFirstOrNull()
+        if (next == null) {
+            if (head == null) parts.timer.awaitRequest(context)
+            return
+        }
+        val writer = ConnectionWriter(context, parts.gate) { next.keepAlive && keepConnections() }
         running = scope.launch { answer(context, next.message, writer) }
     }
 
@@ -123,14 +129,25 @@
         when {
             !context.channel().isActive -> waiting.clear()
             !writer.started -> reject(context, HttpRejection.HANDLER_FAILED)
-            !writer.ended || !writer.keepAlive -> context.close()
+            !writer.ended || !writer.keepAlive -> closeAfterWrites(context)
             else -> runNext(context)
         }
     }
 
+    private fun closeAfterWrites(context: ChannelHandlerContext) {
+        closing = true
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
+    }
+
+    /** Closes the connection unless a request is being received or answered. */
+    fun closeIfIdle() {
+        if (running == null && head == null && waiting.isEmpty()) {
+            connection?.close()
+        }
+    }
+
     private fun reject(context: ChannelHandlerContext, rejection: HttpRejection) {
         closing = true
-        receiveDeadline?.cancel(false)
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             rejection.status,
@@ -143,18 +160,22 @@
         context.writeAndFlush(response).addListener { context.close() }
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        when (event) {
+            ReceiveTimeout.IDLE -> closeIfIdle()
+            ReceiveTimeout.REQUEST -> if (running == null && !closing) reject(context, HttpRejection.TOO_SLOW)
+            else -> super.userEventTriggered(context, event)
+        }
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
-        receiveDeadline?.cancel(false)
         running?.cancel(CancellationException("the other end closed the connection"))
         super.channelInactive(context)
     }
 
     @Deprecated("Deprecated in the interface that Netty gives")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        val idle = cause is ReadTimeoutException && running != null
-        if (!idle) {
-            context.close()
-        }
+        context.close()
     }
 }
 
