Exchange statuses between routers, share proofs of the configuration, fetch prompt caches from their holders

Change: PeerLink and the decision Fleet; proofs are dated by the echo of this router's own status; watches are renewed by the fleet together; Kv-Fetch from the endpoint that probably holds the prompt; a stop uses the whole grace.

--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetOptions.kt
@@ -0,0 +1,26 @@
+package comfreypath.coordination.fleet
+
+import java.time.Duration
+
+private const val INTERVAL_MILLISECONDS = 400L
+private const val PER_PEER_MILLISECONDS = 25L
+private const val MISSED_STATUSES = 4
+
+/**
+ * How routers tell each other what they know.
+ *
+ * @property shortestInterval the time between two statuses to a peer in a small fleet
+ * @property perPeer what each peer adds to that interval, so that a router's traffic does not grow with the fleet
+ * @property missedStatuses the statuses of a peer that may be missing before it counts as gone
+ */
+data class FleetOptions(
+    val shortestInterval: Duration = Duration.ofMillis(INTERVAL_MILLISECONDS),
+    val perPeer: Duration = Duration.ofMillis(PER_PEER_MILLISECONDS),
+    val missedStatuses: Int = MISSED_STATUSES,
+) {
+    /** The time between two statuses to each of [peers] peers. */
+    fun interval(peers: Int): Duration = maxOf(shortestInterval, perPeer.multipliedBy(peers.toLong()))
+
+    /** The silence after which one of [peers] peers counts as gone. */
+    fun liveness(peers: Int): Duration = interval(peers).multipliedBy(missedStatuses.toLong())
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -0,0 +1,58 @@
+package comfreypath.coordination.fleet
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * What one router tells another at short intervals. The serial names are short because there are many.
+ *
+ * @property from the sender
+ * @property stamp when it was written
+ * @property echo the stamp of the receiver's latest status that the sender has; it proves that this status was written
+ * after that one, whatever happened to either on the way
+ * @property leaving true once the sender takes no new requests
+ * @property ready true while the sender takes requests
+ * @property configuration what the sender knows of the configuration; null if it knows none
+ * @property digests what the sender knows of the other kinds of object, by the kind's label
+ * @property inFlight the sender's requests at each endpoint where it has some, by the endpoint's name
+ */
+@Serializable
+data class PeerStatus(
+    @SerialName("n") val from: InstanceName,
+    @SerialName("z") val dataCentre: DataCentreName,
+    @SerialName("t") val stamp: StatusStamp,
+    @SerialName("e") val echo: StatusStamp? = null,
+    @SerialName("l") val leaving: Boolean = false,
+    @SerialName("r") val ready: Boolean = false,
+    @SerialName("c") val configuration: ConfigurationProof? = null,
+    @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
+    @SerialName("f") val inFlight: Map<String, Int> = emptyMap(),
+)
+
+/**
+ * Tells the statuses of one process apart.
+ *
+ * @property incarnation differs for each start of a process
+ * @property milliseconds on the process's steady clock
+ */
+@Serializable
+data class StatusStamp(@SerialName("i") val incarnation: Int, @SerialName("m") val milliseconds: Long)
+
+/**
+ * That a configuration was the newest one a while ago.
+ *
+ * @property ageMilliseconds how long before the status was written the store said so
+ */
+@Serializable
+data class ConfigurationProof(@SerialName("v") val version: Long, @SerialName("a") val ageMilliseconds: Long)
+
+/**
+ * What a router knows of the objects of one kind.
+ *
+ * @property revision the store's revision at which it held
+ * @property hash of the objects' names and revisions
+ */
+@Serializable
+data class KindDigest(@SerialName("r") val revision: Long, @SerialName("h") val hash: Int)
--- a/router/src/main/kotlin/comfreypath/router/node/NodeOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/node/NodeOptions.kt
@@ -8,8 +8,8 @@
 private const val CONNECTIONS = 3_000
 private const val CONNECT_MILLISECONDS = 300L
 private const val STORE_CALL_MILLISECONDS = 1_500L
-private const val WATCH_MILLISECONDS = 2_500L
-private const val DRAIN_MILLISECONDS = 6_500L
+private const val WATCH_MILLISECONDS = 2_000L
+private const val GRACE_SECONDS = 8L
 private const val REVOCATION_MILLISECONDS = 5_000L
 
 /**
@@ -41,14 +41,14 @@
  *
  * @property connect the longest wait for a connection to an endpoint
  * @property storeCall the longest wait for the store's answer to a call
- * @property watch how long a watch on the store waits for a change
- * @property drain the longest time for which a router that is stopping finishes requests
+ * @property watch the time in which the routers together renew a watch on each kind of object once
+ * @property grace the time from SIGTERM until the process is killed
  */
 data class NodeTimeouts(
     val connect: Duration = Duration.ofMillis(CONNECT_MILLISECONDS),
     val storeCall: Duration = Duration.ofMillis(STORE_CALL_MILLISECONDS),
     val watch: Duration = Duration.ofMillis(WATCH_MILLISECONDS),
-    val drain: Duration = Duration.ofMillis(DRAIN_MILLISECONDS),
+    val grace: Duration = Duration.ofSeconds(GRACE_SECONDS),
 )
 
 /**
--- a/router/src/main/kotlin/comfreypath/router/node/RouterNode.kt
+++ b/router/src/main/kotlin/comfreypath/router/node/RouterNode.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.node
 
+import comfreypath.router.peers.PeerLink
+import comfreypath.router.peers.Registration
 import comfreypath.router.request.CallerDialect
 import comfreypath.router.request.CallerExchange
 import comfreypath.router.request.EndpointDialect
@@ -12,6 +14,7 @@
 import comfreypath.router.request.pipeline
 import comfreypath.router.sending.EndpointLedger
 import comfreypath.router.sending.EndpointSender
+import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.telemetry.EventLog
@@ -20,6 +23,7 @@
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationSink
 import comfreypath.router.view.StoreFollower
+import comfreypath.router.view.StoreSink
 import comfreypath.transport.ConnectionPool
 import comfreypath.transport.HttpConnector
 import comfreypath.transport.HttpServer
@@ -59,11 +63,20 @@
     private val store = storeFor(context, connector)
     private val view = ClusterView(context)
     private val configurationSink = ConfigurationSink(context, view)
-    private val probe = ConfigurationProbe(context, store, configurationSink)
+    private val probe = ConfigurationProbe(context, store, view, configurationSink)
     private val pool = ConnectionPool(connector, clock)
-    private val ledger = EndpointLedger()
-    private val selector = EndpointSelector(view, ledger, options.dataCentre)
+    private val ledger = EndpointLedger(clock)
+    private val selector = EndpointSelector(view, ledger, options.dataCentre) { peers.inFlightElsewhere(it) }
     private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
+    private val peers = PeerLink(context, view, ledger, ::ready)
+    private val registration = Registration(context, store)
+    private val configurationFollower = follower(ObjectKinds.CONFIGURATION, configurationSink)
+    private val followers: Map<String, StoreFollower<*>> = mapOf(
+        ObjectKinds.ENDPOINTS.label to follower(ObjectKinds.ENDPOINTS, view.endpoints),
+        ObjectKinds.ROLLOUTS.label to follower(ObjectKinds.ROLLOUTS, view.rollouts),
+        ObjectKinds.EVACUATIONS.label to follower(ObjectKinds.EVACUATIONS, view.evacuations),
+        ObjectKinds.ROUTERS.label to follower(ObjectKinds.ROUTERS, view.routers),
+    )
     private val requests: RequestPipeline = RequestPipeline(context, formats.callers, stages())
     private val callers = HttpServer(loop, ::callerLimits, requests::handle)
     private val readiness = HttpServer(loop, HttpServerOptions(), ::tellReadiness)
@@ -78,17 +91,26 @@
         RelayStage(context, selector, sender, ::refuse)::relay,
     )
 
+    private fun <T : Any> follower(kind: ObjectKind<T>, sink: StoreSink<T>) =
+        StoreFollower(context, store, kind, sink) { watchTime() }
+
+    /** The live routers together renew a watch of each kind at a steady rate, whatever their number. */
+    private fun watchTime(): Duration =
+        minOf(context.options.timeouts.watch.multipliedBy(peers.live.size + 1L), LONGEST_WATCH)
+
     private suspend fun refuse(exchange: CallerExchange, refusal: Refusal) = requests.refuse(exchange, refusal)
 
     /** Listens and starts to follow the store. */
     suspend fun start() {
         val options = context.options
         log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
-        StoreFollower(context, store, ObjectKinds.CONFIGURATION, configurationSink).start()
-        StoreFollower(context, store, ObjectKinds.ENDPOINTS, view.endpoints).start()
-        StoreFollower(context, store, ObjectKinds.ROLLOUTS, view.rollouts).start()
-        StoreFollower(context, store, ObjectKinds.EVACUATIONS, view.evacuations).start()
+        peers.onDigest = { label, digest, _ -> followers[label]?.let { it.compare(view.digests()[label], digest) } }
+        peers.onNewerConfiguration = { context.scope.launch { probe.probe() } }
+        peers.start()
+        configurationFollower.start()
+        followers.values.forEach { it.start() }
         probe.start()
+        registration.start()
         callers.start(options.callerAddress)
         readiness.start(options.readinessAddress)
         metrics.start(options.metricsAddress)
@@ -107,7 +129,7 @@
     /** Stops gracefully: reports not ready, finishes what it has, and leaves. */
     suspend fun stop() {
         stopping = true
-        val deadline = context.now() + context.options.timeouts.drain
+        val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_TIME)
         log.record("stopping", "inProgress" to requests.inProgress)
         delay(LEAVE_NOTICE_MILLISECONDS)
         callers.closeAfterResponse = true
@@ -120,6 +142,7 @@
         readiness.stop()
         metrics.stop()
         callers.stop()
+        peers.stop()
         context.scope.cancel()
     }
 
@@ -154,5 +177,7 @@
 
     private companion object {
         val KEY_MARGIN: Duration = Duration.ofMillis(500)
+        val EXIT_TIME: Duration = Duration.ofMillis(350)
+        val LONGEST_WATCH: Duration = Duration.ofSeconds(25)
     }
 }
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -0,0 +1,141 @@
+package comfreypath.router.peers
+
+import comfreypath.coordination.Step
+import comfreypath.coordination.fleet.ConfigurationProof
+import comfreypath.coordination.fleet.Fleet
+import comfreypath.coordination.fleet.FleetAction
+import comfreypath.coordination.fleet.FleetEvent
+import comfreypath.coordination.fleet.FleetOptions
+import comfreypath.coordination.fleet.FleetState
+import comfreypath.coordination.fleet.KindDigest
+import comfreypath.coordination.fleet.Peer
+import comfreypath.coordination.fleet.PeerAddress
+import comfreypath.coordination.fleet.PeerStatus
+import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
+import comfreypath.router.node.NodeContext
+import comfreypath.router.sending.EndpointLedger
+import comfreypath.router.view.ClusterView
+import comfreypath.transport.Address
+import comfreypath.transport.DatagramSocket
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.random.Random
+
+private const val TICK_MILLISECONDS = 50L
+
+/** Exchanges statuses with the other routers. */
+class PeerLink(
+    private val context: NodeContext,
+    private val view: ClusterView,
+    private val ledger: EndpointLedger,
+    private val ready: () -> Boolean,
+    private val options: FleetOptions = FleetOptions(),
+) {
+    private val fleet = Fleet(options)
+    private val socket = DatagramSocket(context.loop, ::receive)
+    private var state = FleetState(context.options.name, Random.nextInt())
+    private var elsewhere: Map<String, Int> = emptyMap()
+    private var liveNames: Set<InstanceName> = emptySet()
+
+    /** The peers whose statuses arrive. */
+    var live: List<Peer> = emptyList()
+        private set
+
+    /** Called with the kind's label, what a peer knows of it, and the peer, for each digest that arrives. */
+    var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
+
+    /** Called when a peer knows a newer configuration. */
+    var onNewerConfiguration: (PeerAddress) -> Unit = {}
+
+    /** Starts to listen and to tell. */
+    suspend fun start() {
+        socket.start(context.options.peerAddress)
+        view.routers.onChange {
+            step(
+                FleetEvent.Registered(
+                    view.routers.values.map { (name, record) ->
+                        PeerAddress(InstanceName(name), record.host, record.port, record.dataCentre)
+                    },
+                ),
+            )
+        }
+        context.scope.launch {
+            while (true) {
+                step(FleetEvent.Due(status()))
+                refreshLive()
+                delay(TICK_MILLISECONDS)
+            }
+        }
+    }
+
+    /** Stops listening. */
+    fun stop() = socket.stop()
+
+    /** The requests that the other routers last said they have at an endpoint. */
+    fun inFlightElsewhere(endpoint: EndpointName): Int = elsewhere[endpoint.text] ?: 0
+
+    private fun status(): PeerStatus {
+        val now = context.now()
+        return PeerStatus(
+            from = context.options.name,
+            dataCentre = context.options.dataCentre,
+            stamp = StatusStamp(state.incarnation, now.toEpochMilli()),
+            ready = ready(),
+            configuration = view.configuration?.let {
+                ConfigurationProof(it.value.version, it.age(now).toMillis() + 1)
+            },
+            digests = view.digests(),
+            inFlight = ledger.inFlight().mapKeys { it.key.text },
+        )
+    }
+
+    private fun receive(bytes: ByteArray) {
+        val status = try {
+            Json.decodeFromString<PeerStatus>(bytes.decodeToString())
+        } catch (malformed: SerializationException) {
+            context.log.record("peer_status_unreadable", "reason" to malformed.message)
+            return
+        }
+        step(FleetEvent.Heard(status))
+    }
+
+    private fun step(event: FleetEvent) {
+        val next: Step<FleetState, FleetAction> = fleet.step(state, event, context.now())
+        state = next.state
+        next.actions.forEach(::carryOut)
+    }
+
+    private fun carryOut(action: FleetAction) {
+        when (action) {
+            is FleetAction.Send -> {
+                val bytes = Json.encodeToString(action.status).encodeToByteArray()
+                socket.send(Address(action.to.host, action.to.port), bytes)
+            }
+            is FleetAction.Confirm -> confirm(action)
+            is FleetAction.Differs -> state.peers[action.by]?.let { onDigest(action.label, action.digest, it.address) }
+        }
+    }
+
+    private fun confirm(action: FleetAction.Confirm) {
+        val known = view.configuration?.value?.version
+        when {
+            known == action.version -> view.confirmConfiguration(action.confirmedAt)
+            known == null || known < action.version -> state.peers[action.by]?.let { onNewerConfiguration(it.address) }
+        }
+    }
+
+    private fun refreshLive() {
+        live = state.live(options, context.now())
+        val names = live.map { it.address.name }.toSet()
+        (names - liveNames).forEach { context.log.record("peer_heard", "peer" to it) }
+        (liveNames - names).forEach { context.log.record("peer_lost", "peer" to it) }
+        liveNames = names
+        val sums = HashMap<String, Int>()
+        live.forEach { peer -> peer.status?.inFlight?.forEach { (name, count) -> sums.merge(name, count, Int::plus) } }
+        elsewhere = sums
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -24,7 +24,7 @@
             refuse(exchange, notReady("no configuration is known yet"))
             return
         }
-        val route = find(exchange) ?: if (probe.confirmed(view, DENIAL_AGE)) find(exchange) else {
+        val route = find(exchange) ?: if (probe.confirmed(DENIAL_AGE)) find(exchange) else {
             refuse(exchange, notReady("the configuration may be out of date"))
             return
         }
@@ -61,7 +61,7 @@
         }
         val key = exchange.request.apiKey
         val needed = if (key != null && view.teams.find(key) != null) longestAge else DENIAL_AGE
-        if (!probe.confirmed(view, needed)) {
+        if (!probe.confirmed(needed)) {
             refuse(exchange, notReady("the keys in force are not known"))
             return
         }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -24,6 +24,7 @@
  * @property team the team that holds the caller's key; null on public routes
  * @property urgency the rank among an engine's requests, 0 being the most urgent; null leaves it to the engine
  * @property resumeAfter the last event that the caller has of the stream; null to start from the beginning
+ * @property cacheSource an engine from which the endpoint is to fetch the cache of the prompt; null if from none
  */
 class SendPlan(
     val endpoint: Endpoint,
@@ -31,6 +32,7 @@
     val team: TeamName?,
     val urgency: Int?,
     val resumeAfter: Long?,
+    val cacheSource: Endpoint? = null,
 )
 
 /**
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -5,6 +5,7 @@
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.Placement
+import comfreypath.coordination.placement.PromptMemory
 import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.placement.mix
 import comfreypath.coordination.placement.unitInterval
@@ -13,27 +14,57 @@
 import comfreypath.router.sending.EndpointLedger
 import comfreypath.router.view.ClusterView
 
-/** Selects the endpoint for each attempt of a request. */
+/**
+ * Where an attempt goes.
+ *
+ * @property cacheSource another endpoint that probably holds the cache of the prompt, to be fetched from there
+ */
+class Selection(val endpoint: Endpoint, val cacheSource: Endpoint?)
+
+/**
+ * Selects the endpoint for each attempt of a request.
+ *
+ * @property elsewhere the requests that other routers have at an endpoint
+ */
 class EndpointSelector(
     private val view: ClusterView,
     private val ledger: EndpointLedger,
     private val dataCentre: DataCentreName,
+    private val elsewhere: (EndpointName) -> Int,
 ) {
+    private val memory = PromptMemory()
+
     /** The endpoint for the next attempt, or null when none can take the request. */
-    fun select(exchange: CallerExchange, excluded: Set<EndpointName>): Endpoint? {
+    fun select(exchange: CallerExchange, excluded: Set<EndpointName>): Selection? {
         val request = exchange.request
         val identity = hashOf(request.id.text)
         val service = serviceFor(exchange.route, identity) ?: return null
-        val candidates = view.endpointsOf(service)
+        val registered = view.endpointsOf(service)
+        val candidates = registered
             .filter { eligible(it) && it.name !in excluded }
-            .map { endpoint -> ledger.entry(endpoint.name).let { Candidate(endpoint, it.hash, it.inFlight) } }
+            .map { endpoint ->
+                ledger.entry(endpoint.name).let { Candidate(endpoint, it.hash, it.inFlight + elsewhere(endpoint.name)) }
+            }
         val prompt = request.prompt
-        val shared = prompt?.parts?.dropLast(1)?.lastOrNull() ?: prompt?.parts?.lastOrNull()
-        return if (shared != null) {
-            Placement.byPrompt(candidates, shared.identity)?.endpoint
-        } else {
-            Placement.byLoad(candidates, dataCentre, identity)?.endpoint
+        val shared = prompt?.parts?.dropLast(1)?.lastOrNull()
+        if (shared == null) {
+            return Placement.byLoad(candidates, dataCentre, identity)?.let { Selection(it.endpoint, null) }
+        }
+        val chosen = Placement.byPrompt(candidates, shared.identity)?.endpoint ?: return null
+        val source = source(registered, chosen, shared.identity)
+        memory.note(shared.identity, chosen.name)
+        return Selection(chosen, source)
+    }
+
+    /** The endpoint that probably holds the shared part of a prompt while [chosen] does not; null if there is none. */
+    private fun source(registered: List<Endpoint>, chosen: Endpoint, part: Long): Endpoint? {
+        val last = memory.place(part)
+        if (last != null) {
+            return registered.firstOrNull { it.name == last && it.name != chosen.name }
         }
+        val settled = registered.filter { ledger.entry(it.name).settled }
+        val home = settled.maxByOrNull { mix(part, ledger.entry(it.name).hash) }
+        return home?.takeIf { it.name != chosen.name }
     }
 
     private fun eligible(endpoint: Endpoint): Boolean =
--- a/router/src/main/kotlin/comfreypath/router/request/RelayStage.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayStage.kt
@@ -84,9 +84,10 @@
 
         suspend fun run(): RelayResult {
             while (callerWaits) {
-                val endpoint = selector.select(exchange, tried) ?: return ended(course.giveUp(state), null)
+                val selection = selector.select(exchange, tried) ?: return ended(course.giveUp(state), null)
+                val endpoint = selection.endpoint
                 tried += endpoint.name
-                val attempt = attempt(endpoint)
+                val attempt = attempt(selection)
                 val (next, action) = course.after(state, attempt.outcome, context.now(), mayRetry = true)
                 state = next
                 record(endpoint, attempt.outcome, action)
@@ -139,7 +140,8 @@
             }
         }
 
-        private suspend fun attempt(endpoint: Endpoint): Attempt {
+        private suspend fun attempt(selection: Selection): Attempt {
+            val endpoint = selection.endpoint
             val deadline = state.deadline
             val plan = SendPlan(
                 endpoint = endpoint,
@@ -147,6 +149,7 @@
                 team = exchange.team,
                 urgency = null,
                 resumeAfter = stream?.lastEvent ?: request.resumeAfter,
+                cacheSource = selection.cacheSource,
             )
             return when (val sent = sender.send(request, plan, exchange.route.repeatable, deadline)) {
                 is SendResult.Failed -> Attempt(sent.outcome)
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
@@ -2,13 +2,17 @@
 
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.placement.hashOf
+import java.time.Duration
+import java.time.InstantSource
+
+private val SETTLING_TIME: Duration = Duration.ofSeconds(10)
 
 /** What this router has at each endpoint now. */
-class EndpointLedger {
+class EndpointLedger(private val clock: InstantSource) {
     private val entries = HashMap<EndpointName, EndpointEntry>()
 
     /** The entry of the endpoint called [name], created on first use. */
-    fun entry(name: EndpointName): EndpointEntry = entries.getOrPut(name) { EndpointEntry(hashOf(name.text)) }
+    fun entry(name: EndpointName): EndpointEntry = entries.getOrPut(name) { EndpointEntry(hashOf(name.text), clock) }
 
     /** Forgets the endpoints that are not in [registered] and have no request of this router. */
     fun retain(registered: (EndpointName) -> Boolean) {
@@ -24,7 +28,12 @@
  *
  * @property hash of the endpoint's name
  */
-class EndpointEntry(val hash: Long) {
+class EndpointEntry(val hash: Long, private val clock: InstantSource) {
+    private val knownSince = clock.instant()
+
+    /** True once the endpoint has been known for long enough to hold the prompts that belong to it. */
+    val settled: Boolean get() = Duration.between(knownSince, clock.instant()) > SETTLING_TIME
+
     /** The requests of this router that the endpoint has. */
     var inFlight: Int = 0
 }
--- a/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import comfreypath.coordination.facts.Fact
+import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.ServiceName
@@ -10,6 +11,7 @@
 import comfreypath.coordination.routing.RouteTable
 import comfreypath.coordination.routing.TeamDirectory
 import comfreypath.router.node.NodeContext
+import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.RouterRecord
 import java.time.Instant
 
@@ -81,6 +83,14 @@
         return byService[service].orEmpty()
     }
 
+    /** What this router knows of each followed kind, by the kind's label. */
+    fun digests(): Map<String, KindDigest> = listOf(
+        ObjectKinds.ENDPOINTS to endpoints,
+        ObjectKinds.ROLLOUTS to rollouts,
+        ObjectKinds.EVACUATIONS to evacuations,
+        ObjectKinds.ROUTERS to routers,
+    ).mapNotNull { (kind, known) -> known.digest?.let { kind.label to it } }.toMap()
+
     /** The endpoint called [name], or null. */
     fun endpoint(name: EndpointName): Endpoint? = endpoints.values[name.text]
 }
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -7,28 +7,40 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.apache.commons.rng.simple.RandomSource
 import java.time.Duration
 
-private const val PAUSE_MILLISECONDS = 1_200L
+private const val TICK_MILLISECONDS = 100L
+private const val AGE_MILLISECONDS = 1_200
+private const val AGE_SPREAD_MILLISECONDS = 800
 
 /**
- * Reads the configuration at short intervals, which proves that no newer one was acknowledged before the read.
+ * Reads the configuration whenever the last proof that it is the newest one gets old.
  *
- * A watch that stays silent proves nothing: its connection may have lost its other end.
+ * A watch that stays silent proves nothing: its connection may have lost its other end. Routers pass proofs on to each
+ * other, so that mostly one read serves all; each waits for a proof a random time longer than the others.
  */
 class ConfigurationProbe(
     private val context: NodeContext,
     private val store: ObjectStore,
+    private val view: ClusterView,
     private val sink: ConfigurationSink,
 ) {
+    private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
     private var reading: CompletableDeferred<Boolean>? = null
 
+    private fun fresh(age: Duration): Boolean = view.configuration?.let { it.age(context.now()) <= age } ?: false
+
     /** Starts to read. */
     fun start() {
         context.scope.launch {
             while (true) {
+                val longest = Duration.ofMillis(AGE_MILLISECONDS + random.nextInt(AGE_SPREAD_MILLISECONDS).toLong())
+                while (fresh(longest)) {
+                    delay(TICK_MILLISECONDS)
+                }
                 probe()
-                delay(PAUSE_MILLISECONDS)
+                delay(TICK_MILLISECONDS)
             }
         }
     }
@@ -54,8 +66,5 @@
     }
 
     /** True when the configuration was the newest one at most [age] ago, if need be after a read. */
-    suspend fun confirmed(view: ClusterView, age: Duration): Boolean {
-        val known = view.configuration
-        return known != null && known.age(context.now()) <= age || probe() && view.configuration != null
-    }
+    suspend fun confirmed(age: Duration): Boolean = fresh(age) || probe() && fresh(age)
 }
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.fleet.KindDigest
 import comfreypath.router.node.NodeContext
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.StoredObject
@@ -23,8 +24,12 @@
     var confirmedAt: Instant? = null
         private set
 
+    private val revisions = HashMap<String, Long>()
     private val listeners = mutableListOf<() -> Unit>()
 
+    /** What this router knows, in short; null before the first list. */
+    val digest: KindDigest? get() = confirmedAt?.let { KindDigest(revision, revisions.hashCode()) }
+
     /** Calls [listener] after each change. */
     fun onChange(listener: () -> Unit) {
         listeners += listener
@@ -32,6 +37,8 @@
 
     override fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant) {
         val readable = HashMap<String, T>()
+        revisions.clear()
+        objects.forEach { revisions[it.name] = it.revision }
         objects.forEach { stored -> readable(stored)?.let { readable[stored.name] = it } }
         val before = values
         values = readable.toPersistentMap()
@@ -48,6 +55,7 @@
             val value = if (change.removed) null else readable(change.changed)
             val name = change.changed.name
             values = if (value == null) values.remove(name) else values.put(name, value)
+            if (change.removed) revisions.remove(name) else revisions[name] = change.changed.revision
             context.log.record(
                 if (value == null) "${label}_removed" else "${label}_changed",
                 label to name,
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -1,35 +1,52 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.fleet.KindDigest
 import comfreypath.router.node.NodeContext
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
+import java.time.Duration
 import java.time.Instant
 
 private const val FIRST_RETRY_MILLISECONDS = 100
 private const val LONGEST_RETRY_MILLISECONDS = 800
+private const val LONGEST_DOUBLINGS = 3
+private const val SPREAD = 0.3
+
+/** How long a peer may know more before this router's own watch counts as silent. */
+private val LONGEST_LAG: Duration = Duration.ofMillis(400)
 
 /**
  * Keeps a [StoreSink] up to date with the objects of one kind: lists them, and then watches from the list's revision.
  *
- * Each wait after a failure is random, so that the routers do not all return to the store at the same moment.
+ * Each wait is random to a degree, so that the routers do not all call the store at the same moment. A watch whose
+ * connection has silently lost its other end is found out by what peers know, see [compare].
+ *
+ * @property wait how long a watch may stay open without a change
  */
 class StoreFollower<T : Any>(
     private val context: NodeContext,
     private val store: ObjectStore,
     private val kind: ObjectKind<T>,
     private val sink: StoreSink<T>,
+    private val wait: () -> Duration,
 ) {
     private val random: UniformRandomProvider =
         RandomSource.SPLIT_MIX_64.create((context.options.name.text + kind.label).hashCode().toLong())
     private var failures = 0
-    private var lost = false
+    private var lostSince: Instant? = null
+    private var watching: Job? = null
+    private var behindSince: Instant? = null
+
+    /** True while the store does not answer this router about this kind. */
+    val lost: Boolean get() = lostSince != null
 
     /** Starts to follow. */
     fun start() {
@@ -41,11 +58,33 @@
         }
     }
 
+    /** Takes in what a peer knows, to be compared with [own]; opens the watch anew when it seems to miss something. */
+    fun compare(own: KindDigest?, peers: KindDigest) {
+        val now = context.now()
+        val behind = own != null && peers.revision > own.revision && peers.hash != own.hash
+        val since = behindSince
+        when {
+            !behind -> if (own != null && own.revision >= peers.revision) behindSince = null
+            since == null -> behindSince = now
+            Duration.between(since, now) > LONGEST_LAG -> reopen("a peer knows revision ${peers.revision}")
+        }
+    }
+
+    /** Lists the objects again, on a new connection. */
+    fun reopen(reason: String) {
+        behindSince = null
+        watching?.let {
+            context.log.record("watch_reopened", "kind" to kind.label, "reason" to reason)
+            it.cancel()
+        }
+    }
+
     private fun pauseMilliseconds(): Long {
         if (failures == 0) {
             return 0
         }
-        val longest = (FIRST_RETRY_MILLISECONDS shl minOf(failures - 1, 3)).coerceAtMost(LONGEST_RETRY_MILLISECONDS)
+        val doublings = minOf(failures - 1, LONGEST_DOUBLINGS)
+        val longest = (FIRST_RETRY_MILLISECONDS shl doublings).coerceAtMost(LONGEST_RETRY_MILLISECONDS)
         return longest / 2 + random.nextInt(longest / 2 + 1).toLong()
     }
 
@@ -66,36 +105,49 @@
         return revision
     }
 
-    /** Watches until a failure. */
+    /** Watches until a failure, or until the watch is reopened. */
     private suspend fun watch(from: Long) {
-        var revision = from
-        while (true) {
-            val sentAt: Instant = context.now()
-            val batch = store.watch(kind, revision, context.options.timeouts.watch)
-                .fold(success = { it }, failure = { failed("watch", it) }) ?: return
-            succeeded()
-            revision = batch.revision
-            sink.apply(batch.changes, batch.revision, sentAt)
+        val job = context.scope.launch {
+            var revision: Long? = from
+            while (revision != null) {
+                revision = watchOnce(revision)
+            }
         }
+        watching = job
+        job.join()
+        watching = null
+    }
+
+    private suspend fun watchOnce(from: Long): Long? {
+        val sentAt: Instant = context.now()
+        val spread = 1 + SPREAD * (random.nextDouble() * 2 - 1)
+        val longest = Duration.ofMillis((wait().toMillis() * spread).toLong())
+        val batch = store.watch(kind, from, longest).fold(success = { it }, failure = { failed("watch", it) })
+            ?: return null
+        succeeded()
+        sink.apply(batch.changes, batch.revision, sentAt)
+        return batch.revision
     }
 
     private fun failed(verb: String, error: StoreError): Nothing? {
-        failures = if (error == StoreError.HistoryGone) 0 else failures + 1
-        if (!lost && failures > 0) {
-            lost = true
-            context.log.record("store_lost", "kind" to kind.label, "verb" to verb, "error" to error)
-        }
         if (error == StoreError.HistoryGone) {
             context.log.record("store_history_gone", "kind" to kind.label)
+            return null
+        }
+        failures += 1
+        if (lostSince == null) {
+            lostSince = context.now()
+            context.log.record("store_lost", "kind" to kind.label, "verb" to verb, "error" to error)
         }
         return null
     }
 
     private fun succeeded() {
         failures = 0
-        if (lost) {
-            lost = false
-            context.log.record("store_regained", "kind" to kind.label)
+        lostSince?.let {
+            val milliseconds = Duration.between(it, context.now()).toMillis()
+            context.log.record("store_regained", "kind" to kind.label, "afterMs" to milliseconds)
         }
+        lostSince = null
     }
 }
