Keep prompts at their first endpoint up to 1.6 times the mean load, and remember all holders

Cause: with a bound of 1.3 times the mean plus 2, one prompt in three went past its first endpoint, and a router that remembered only the last holder fetched caches that the endpoint held already.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -3,8 +3,8 @@
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.routing.Endpoint
 
-private const val BOUND_FACTOR = 1.3
-private const val BOUND_SLACK = 2.0
+private const val BOUND_FACTOR = 1.6
+private const val BOUND_SLACK = 3.0
 
 /**
  * An endpoint that may take a request.
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -58,13 +58,13 @@
 
     /** The endpoint that probably holds the shared part of a prompt while [chosen] does not; null if there is none. */
     private fun source(registered: List<Endpoint>, chosen: Endpoint, part: Long): Endpoint? {
-        val last = memory.place(part)
-        if (last != null) {
-            return registered.firstOrNull { it.name == last && it.name != chosen.name }
-        }
+        val holders = memory.holders(part)
         val settled = registered.filter { ledger.entry(it.name).settled }
         val home = settled.maxByOrNull { mix(part, ledger.entry(it.name).hash) }
-        return home?.takeIf { it.name != chosen.name }
+        if (chosen.name in holders || chosen.name == home?.name) {
+            return null
+        }
+        return holders.firstNotNullOfOrNull { name -> registered.firstOrNull { it.name == name } } ?: home
     }
 
     private fun eligible(endpoint: Endpoint): Boolean =
