--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardOptions.kt
@@ -10,6 +10,7 @@
 private const val FRESH_MILLISECONDS = 500L
 private const val BATCH = 256
 private const val RECORDS = 4_000
+private const val SHARDS = 64
 
 /**
  * Settings of a [ClaimShard].
@@ -22,6 +23,7 @@
  * @property freshness a copy older than this is read anew before a key is said to have no answer yet
  * @property batch the most operations in one write
  * @property records the most claims in one shard, so that it stays below the store's limit on a value
+ * @property shards the objects among which claims are divided
  */
 data class ClaimShardOptions(
     val writeInterval: Duration = Duration.ofMillis(WRITE_MILLISECONDS),
@@ -32,4 +34,5 @@
     val freshness: Duration = Duration.ofMillis(FRESH_MILLISECONDS),
     val batch: Int = BATCH,
     val records: Int = RECORDS,
+    val shards: Int = SHARDS,
 )
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
@@ -10,8 +10,8 @@
     /** These routers are registered in the store; this router may be among them. */
     data class Registered(val routers: List<PeerAddress>) : FleetEvent
 
-    /** A status arrived. */
-    data class Heard(val status: PeerStatus) : FleetEvent
+    /** A status arrived from [sender]. */
+    data class Heard(val status: PeerStatus, val sender: PeerAddress) : FleetEvent
 
     /** Time has passed; [own] is this router's status as of now, without an echo. */
     data class Due(val own: PeerStatus) : FleetEvent
@@ -25,8 +25,8 @@
     /** The configuration called [version] was still the newest at [confirmedAt]; [by] said so. */
     data class Confirm(val version: Long, val confirmedAt: Instant, val by: InstanceName) : FleetAction
 
-    /** A peer knows objects of the kind called [label] otherwise, at a higher revision. */
-    data class Differs(val label: String, val digest: KindDigest, val by: InstanceName) : FleetAction
+    /** A peer told what it knows of the kind whose code is [kind]; it is to be compared. */
+    data class Compare(val kind: String, val digest: KindDigest) : FleetAction
 }
 
 /**
@@ -39,20 +39,29 @@
     /** Takes an event in. */
     fun step(state: FleetState, event: FleetEvent, now: Instant): Step<FleetState, FleetAction> = when (event) {
         is FleetEvent.Registered -> Step(registered(state, event.routers))
-        is FleetEvent.Heard -> heard(state, event.status, now)
+        is FleetEvent.Heard -> heard(state, event.status, event.sender, now)
         is FleetEvent.Due -> due(state, event.own, now)
     }
 
     private fun registered(state: FleetState, routers: List<PeerAddress>): FleetState {
-        val peers = routers.filter { it.name != state.self }.associate { address ->
+        val registered = routers.filter { it.name != state.self }.associate { address ->
             val known = state.peers[address.name]?.takeIf { it.address == address }
-            address.name to (known ?: Peer(address))
+            address.name to (known?.copy(registered = true) ?: Peer(address, registered = true))
         }
-        return state.copy(peers = peers.toPersistentMap())
+        val greeted = state.peers.filterValues { !it.registered && it.address.name !in registered }
+        return state.copy(peers = (greeted + registered).toPersistentMap())
     }
 
-    private fun heard(state: FleetState, status: PeerStatus, now: Instant): Step<FleetState, FleetAction> {
-        val peer = state.peers[status.from] ?: return Step(state)
+    private fun heard(
+        state: FleetState,
+        status: PeerStatus,
+        sender: PeerAddress,
+        now: Instant,
+    ): Step<FleetState, FleetAction> {
+        if (status.from == state.self) {
+            return Step(state)
+        }
+        val peer = state.peers[status.from] ?: Peer(sender)
         val last = peer.status?.stamp
         val newer = last == null || status.stamp.incarnation != last.incarnation ||
             status.stamp.milliseconds > last.milliseconds
@@ -60,7 +69,7 @@
             return Step(state)
         }
         val next = state.copy(peers = state.peers.put(status.from, peer.copy(heardAt = now, status = status)))
-        return Step(next, proof(state, status) + differences(status))
+        return Step(next, proof(state, status) + comparisons(status))
     }
 
     private fun proof(state: FleetState, status: PeerStatus): List<FleetAction> {
@@ -70,16 +79,25 @@
         return listOf(FleetAction.Confirm(proof.version, provenAt, status.from))
     }
 
-    private fun differences(status: PeerStatus): List<FleetAction> =
-        status.digests.map { (label, digest) -> FleetAction.Differs(label, digest, status.from) }
+    private fun comparisons(status: PeerStatus): List<FleetAction> =
+        status.digests.map { (kind, digest) -> FleetAction.Compare(kind, digest) }
 
     private fun due(state: FleetState, own: PeerStatus, now: Instant): Step<FleetState, FleetAction> {
         if (now < state.nextStatusAt) {
             return Step(state)
         }
-        val sends = state.peers.values.map { peer ->
+        val current = state.copy(peers = state.peers.filterValues { !forgotten(it, now) }.toPersistentMap())
+        val sends = current.peers.values.map { peer ->
             FleetAction.Send(peer.address, own.copy(echo = peer.status?.stamp))
         }
-        return Step(state.copy(nextStatusAt = now + options.interval(state.peers.size)), sends)
+        val known = current.peers.values.map { it.address.endpoint }.toSet()
+        val greetings = state.seeds.filter { it.endpoint !in known }.map { FleetAction.Send(it, own) }
+        return Step(current.copy(nextStatusAt = now + options.interval(current.peers.size)), sends + greetings)
+    }
+
+    /** A peer that was only heard, and is not registered, is forgotten when it falls silent. */
+    private fun forgotten(peer: Peer, now: Instant): Boolean {
+        val heardAt = peer.heardAt
+        return !peer.registered && heardAt != null && now > heardAt + options.forgetAfter
     }
 }
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetState.kt
@@ -2,7 +2,9 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import java.time.Instant
 
@@ -12,7 +14,10 @@
  * @property host an IP number
  * @property port a UDP port
  */
-data class PeerAddress(val name: InstanceName, val host: String, val port: Int, val dataCentre: DataCentreName)
+data class PeerAddress(val name: InstanceName, val host: String, val port: Int, val dataCentre: DataCentreName) {
+    /** The host and the port in one text. */
+    val endpoint: String get() = "$host:$port"
+}
 
 /**
  * What is known of one peer.
@@ -20,8 +25,14 @@
  * @property address where it is reached
  * @property heardAt when its last status arrived; null before the first
  * @property status the last one
+ * @property registered true when the store lists it
  */
-data class Peer(val address: PeerAddress, val heardAt: Instant? = null, val status: PeerStatus? = null)
+data class Peer(
+    val address: PeerAddress,
+    val heardAt: Instant? = null,
+    val status: PeerStatus? = null,
+    val registered: Boolean = false,
+)
 
 /**
  * What a router knows of the fleet.
@@ -29,12 +40,14 @@
  * @property self this router's name
  * @property incarnation differs for each start of this process
  * @property peers the other routers that are registered or were heard
+ * @property seeds routers to greet although nothing is known of them, by address alone
  * @property nextStatusAt when the next statuses are due
  */
 data class FleetState(
     val self: InstanceName,
     val incarnation: Int,
     val peers: PersistentMap<InstanceName, Peer> = persistentMapOf(),
+    val seeds: ImmutableList<PeerAddress> = persistentListOf(),
     val nextStatusAt: Instant = Instant.EPOCH,
 ) {
     /** The peers whose statuses arrive, at [now]. */
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -2,8 +2,14 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
 
 /**
  * What one router tells another at short intervals. The serial names are short because there are many.
@@ -15,7 +21,7 @@
  * @property leaving true once the sender takes no new requests
  * @property ready true while the sender takes requests
  * @property configuration what the sender knows of the configuration; null if it knows none
- * @property digests what the sender knows of the other kinds of object, by the kind's label
+ * @property digests what the sender knows of the other kinds of object, by the kind's code
  * @property inFlight the sender's requests at each endpoint where it has some, by the endpoint's name
  */
 @Serializable
@@ -54,5 +60,25 @@
  * @property revision the store's revision at which it held
  * @property hash of the objects' names and revisions
  */
-@Serializable
-data class KindDigest(@SerialName("r") val revision: Long, @SerialName("h") val hash: Int)
+@Serializable(with = KindDigestSerializer::class)
+data class KindDigest(val revision: Long, val hash: Int)
+
+/** Writes a digest as one short text. */
+internal object KindDigestSerializer : KSerializer<KindDigest> {
+    private const val BASE = 36
+
+    override val descriptor = PrimitiveSerialDescriptor("KindDigest", PrimitiveKind.STRING)
+
+    override fun serialize(encoder: Encoder, value: KindDigest) =
+        encoder.encodeString("${value.revision}:${value.hash.toString(BASE)}")
+
+    override fun deserialize(decoder: Decoder): KindDigest {
+        val text = decoder.decodeString()
+        val revision = text.substringBefore(':').toLongOrNull()
+        val hash = text.substringAfter(':', "").toIntOrNull(BASE)
+        if (revision == null || hash == null) {
+            throw SerializationException("a digest has the form REVISION:HASH")
+        }
+        return KindDigest(revision, hash)
+    }
+}
--- a/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
@@ -2,7 +2,6 @@
 
 import comfreypath.daemon.command.DemoCommand
 import comfreypath.daemon.command.MeasureCommand
-import comfreypath.daemon.command.NodeCommand
 import comfreypath.daemon.command.RouterCommand
 import comfreypath.daemon.command.StandInCommand
 import kotlin.system.exitProcess
@@ -15,7 +14,6 @@
 
       demo       runs a whole fleet in one process, with load and failures, and checks every answer
       router     runs one router
-      node       runs one router on the platform
       measure    measures what routers cost, or how decisions fare in randomised runs
       stand-in   runs a stand-in: object-store, engine or service
 
@@ -28,7 +26,6 @@
     val status = when (arguments.firstOrNull()) {
         "demo" -> DemoCommand().run(rest)
         "router" -> RouterCommand().run(rest, System.getenv())
-        "node" -> NodeCommand().run(rest, System.getenv())
         "measure" -> MeasureCommand().run(rest)
         "stand-in" -> StandInCommand().run(rest)
         "--help", "help" -> {
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/DemoCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/DemoCommand.kt
@@ -3,7 +3,7 @@
 import comfreypath.daemon.EXIT_USAGE
 import comfreypath.daemon.demo.Demo
 import comfreypath.daemon.demo.DemoReport
-import comfreypath.protocols.wireJson
+import comfreypath.transport.wireJson
 import kotlinx.coroutines.runBlocking
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/MeasureCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/MeasureCommand.kt
@@ -9,7 +9,7 @@
 import comfreypath.measure.Measurement
 import comfreypath.measure.measurements
 import comfreypath.measure.slopes
-import comfreypath.protocols.wireJson
+import comfreypath.transport.wireJson
 import kotlinx.coroutines.runBlocking
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
@@ -105,11 +105,9 @@
     private fun print(report: OverheadReport) {
         println("milliseconds at          50      95      99   requests/s  processor us/request")
         row("straight to the engine", report.direct)
-        row("through one router", report.oneRouter)
-        row("through two routers", report.twoRouters)
-        added("added by one", report.addedByOne)
-        added("added by two", report.addedByTwo)
-        added("to first piece by two", report.addedToFirstPieceByTwo)
+        row("through a router", report.throughRouter)
+        added("added", report.added)
+        added("added to first piece", report.addedToFirstPiece)
         println()
     }
 
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -6,13 +6,21 @@
 import comfreypath.daemon.EXIT_USAGE
 import comfreypath.daemon.settings.GivenSettings
 import comfreypath.daemon.settings.RouterSettings
-import comfreypath.router.Router
+import comfreypath.daemon.settings.CallerInterface
+import comfreypath.openai.OpenAiCallerDialect
+import comfreypath.openai.OpenAiEndpointDialect
+import comfreypath.platform.PlatformCallerDialect
+import comfreypath.platform.PlatformEndpointDialect
+import comfreypath.platform.PlatformStore
 import comfreypath.router.RouterOptions
+import comfreypath.router.Router
+import comfreypath.router.WireFormats
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import java.io.IOException
+import java.time.Instant
 import java.util.concurrent.CountDownLatch
 
 /** Runs one router until SIGTERM, and then stops it gracefully. */
@@ -25,11 +33,12 @@
             println(GivenSettings.help(RouterSettings.all))
             return 0
         }
-        val flags = arguments - "--check"
-        return GivenSettings.read(RouterSettings.all, flags, environment)
+        return GivenSettings.read(RouterSettings.all, arguments - "--check", environment)
             .andThen { given -> RouterSettings.options(given).map { given to it } }
             .fold(
-                success = { (given, options) -> if ("--check" in arguments) print(given) else serve(options) },
+                success = { (given, options) ->
+                    if ("--check" in arguments) print(given) else serve(options, RouterSettings.callerInterface(given))
+                },
                 failure = {
                     System.err.println("comfreypath router: $it")
                     EXIT_USAGE
@@ -42,9 +51,15 @@
         return 0
     }
 
-    private fun serve(options: RouterOptions): Int {
+    private fun formats(options: RouterOptions, spoken: CallerInterface) = when (spoken) {
+        CallerInterface.OPENAI ->
+            WireFormats(OpenAiCallerDialect(options.name, Instant.now()), OpenAiEndpointDialect())
+        CallerInterface.PLATFORM -> WireFormats(PlatformCallerDialect(), PlatformEndpointDialect())
+    }
+
+    private fun serve(options: RouterOptions, spoken: CallerInterface): Int {
         val loop = eventLoops("router", 1).next()
-        val router = Router(options, loop)
+        val router = Router(options, loop, formats(options, spoken), ::PlatformStore)
         val stopped = CountDownLatch(1)
         val hook = Thread {
             runBlocking { withContext(loop.dispatcher()) { router.stop() } }
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/Caller.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/Caller.kt
@@ -2,18 +2,18 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
-import comfreypath.protocols.ChatCompletionChunk
-import comfreypath.protocols.ChatCompletionRequest
-import comfreypath.protocols.ErrorBody
-import comfreypath.protocols.HeaderNames
-import comfreypath.protocols.ServerSentEvent
-import comfreypath.protocols.ServerSentEventParser
-import comfreypath.protocols.Usage
-import comfreypath.protocols.wireJson
+import comfreypath.openai.ChatCompletionChunk
+import comfreypath.openai.ChatCompletionRequest
+import comfreypath.openai.ErrorBody
+import comfreypath.openai.OpenAiHeaders
+import comfreypath.openai.ServerSentEvent
+import comfreypath.openai.ServerSentEventParser
+import comfreypath.openai.Usage
+import comfreypath.transport.wireJson
 import comfreypath.standins.Booking
 import comfreypath.standins.BookingConfirmation
 import comfreypath.transport.Address
-import comfreypath.transport.BodyPiece
+import comfreypath.transport.ResponsePart
 import comfreypath.transport.ExchangeFailure
 import comfreypath.transport.HttpClient
 import comfreypath.transport.HttpExchange
@@ -58,7 +58,7 @@
 
     /** Books under an idempotency key. */
     suspend fun book(address: Address, key: String, path: String, booking: Booking, once: String): CallerOutcome {
-        val request = post(path, key, wireJson.encodeToString(booking), mapOf(HeaderNames.IDEMPOTENCY_KEY to once))
+        val request = post(path, key, wireJson.encodeToString(booking), mapOf(OpenAiHeaders.IDEMPOTENCY_KEY to once))
         return client.exchange(address, request).fold(
             success = { exchange ->
                 if (exchange.status == OK_STATUS) readBooking(exchange) else readRefusal(exchange)
@@ -102,9 +102,10 @@
         val answer = StreamedAnswer(started)
         while (true) {
             when (val piece = exchange.next()) {
-                is BodyPiece.Bytes -> parser.feed(piece.bytes).forEach { answer.take(it) }
-                is BodyPiece.End -> return answer.outcome()
-                is BodyPiece.Broken -> return CallerOutcome.Lost("broken stream: ${piece.failure}")
+                is ResponsePart.Bytes -> parser.feed(piece.bytes).forEach { answer.take(it) }
+                is ResponsePart.End -> return answer.outcome()
+                is ResponsePart.Broken -> return CallerOutcome.Lost("broken stream: ${piece.reason}")
+                is ResponsePart.Head -> return CallerOutcome.Lost("another answer within the stream")
             }
         }
     }
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/Demo.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/Demo.kt
@@ -7,11 +7,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.time.Duration
-import java.time.Instant
 
 private const val LOAD_SECONDS = 24L
 private const val STEP_SECONDS = 6L
-private const val RETURN_SECONDS = 3L
 private const val SAMPLE_MILLISECONDS = 50L
 private const val SAMPLES_PER_WINDOW = 60
 private const val BALANCER_MILLISECONDS = 250L
@@ -36,7 +34,7 @@
         )
         fleet.start()
         usable = fleet.routers
-        val load = DemoLoad(fleet, options.teams, seed) { usable.map { it.options.address } }
+        val load = DemoLoad(fleet, options.teams, seed) { usable.map { it.options.callerAddress } }
         val controlBytes = underLoad(load)
         fleet.stop()
         return report(load.tally, controlBytes)
@@ -56,7 +54,7 @@
     }
 
     private fun controlBytes(): Map<String, Long> =
-        fleet.routers.associate { it.options.name.text to it.router.metrics.controlBytesTotal() }
+        fleet.routers.associate { it.options.name.text to it.router.routerMetrics.controlBytesTotal() }
 
     private suspend fun changes() {
         delay(Duration.ofSeconds(STEP_SECONDS).toMillis())
@@ -64,7 +62,7 @@
         progress("taking $dataCentre out of service")
         setInService(dataCentre, inService = false)
         delay(Duration.ofSeconds(STEP_SECONDS).toMillis())
-        progress("bringing $dataCentre back gradually")
+        progress("bringing $dataCentre back")
         setInService(dataCentre, inService = true)
         delay(Duration.ofSeconds(STEP_SECONDS).toMillis())
         replaceRouter()
@@ -79,25 +77,8 @@
     }
 
     private suspend fun setInService(name: DataCentreName, inService: Boolean) {
-        outOfService = name
-        fleet.configure { configuration ->
-            val changed = configuration.dataCentres.map { dataCentre ->
-                if (dataCentre.name == name) {
-                    dataCentre.copy(
-                        inService = inService,
-                        since = Instant.now(),
-                        returnDuration = Duration.ofSeconds(RETURN_SECONDS),
-                    )
-                } else {
-                    dataCentre
-                }
-            }
-            configuration.copy(dataCentres = changed)
-        }
-        if (inService) {
-            delay(Duration.ofSeconds(RETURN_SECONDS).toMillis())
-            outOfService = null
-        }
+        outOfService = name.takeUnless { inService }
+        fleet.evacuate(name, evacuated = !inService)
     }
 
     /** Plays the balancer: it notices after a while which routers are ready. */
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/DemoLoad.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/DemoLoad.kt
@@ -1,7 +1,7 @@
 package comfreypath.daemon.demo
 
-import comfreypath.protocols.ChatCompletionRequest
-import comfreypath.protocols.ChatMessage
+import comfreypath.openai.ChatCompletionRequest
+import comfreypath.openai.ChatMessage
 import comfreypath.standins.Booking
 import comfreypath.standins.EngineAnswer
 import comfreypath.transport.Address
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalFleet.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalFleet.kt
@@ -2,13 +2,16 @@
 
 import com.github.michaelbull.result.getOrElse
 import comfreypath.coordination.invariant.InvariantViolation
-import comfreypath.coordination.model.Configuration
+import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.Endpoint
+import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.model.InstanceName
 import comfreypath.router.Router
 import comfreypath.router.RouterOptions
-import comfreypath.router.platform.InstanceRecord
+import comfreypath.openai.OpenAiCallerDialect
+import comfreypath.openai.OpenAiEndpointDialect
+import comfreypath.platform.PlatformStore
+import comfreypath.router.WireFormats
 import comfreypath.standins.EngineStandIn
 import comfreypath.standins.ObjectStoreStandIn
 import comfreypath.standins.ServiceStandIn
@@ -21,6 +24,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import java.time.Instant
 import java.util.concurrent.ConcurrentLinkedQueue
 
 private const val READY_POLL_MILLISECONDS = 50L
@@ -77,7 +81,8 @@
         storeAddress = store.start(freeAddress())
         repeat(options.engines) { startEngine(it) }
         repeat(options.services) { startService(it) }
-        platform.createConfiguration(layout.configuration(engines.map { it.endpoint } + services.map { it.endpoint }))
+        platform.createConfiguration(layout.configuration())
+        (engines.map { it.endpoint } + services.map { it.endpoint }).forEach { platform.register(it) }
         repeat(options.routers) { startRouter(layout.dataCentre(it)) }
         var polls = 0
         while (routers.any { !isReady(it) }) {
@@ -101,22 +106,30 @@
         services += RunningService(service, loop, layout.bookingServer(number, address))
     }
 
-    /** Starts one more router in [dataCentre], and names it in the platform's list. */
+    /** Starts one more router in [dataCentre]. */
     suspend fun startRouter(dataCentre: DataCentreName): RunningRouter {
         routersStarted += 1
-        val name = InstanceName("router-$routersStarted")
-        val plain = RouterOptions(name, dataCentre, freeAddress(), storeAddress, operatorKey = "operator")
-        return launch(options.tune(plain))
+        return launch(settings(InstanceName("router-$routersStarted"), dataCentre))
     }
 
-    /** Starts a router with the given settings; the platform's list names it unless [listed] is false. */
-    suspend fun launch(settings: RouterOptions, listed: Boolean = true): RunningRouter {
-        if (listed) {
-            val address = settings.address
-            platform.createInstance(InstanceRecord(settings.name, address.host, address.port, settings.dataCentre))
-        }
+    /** The settings of a router of this fleet. */
+    fun settings(name: InstanceName, dataCentre: DataCentreName): RouterOptions = options.tune(
+        RouterOptions(
+            name = name,
+            dataCentre = dataCentre,
+            callerAddress = freeAddress(),
+            readinessAddress = freeAddress(),
+            peerAddress = freeAddress(),
+            metricsAddress = freeAddress(),
+            objectStore = storeAddress,
+        ),
+    )
+
+    /** Starts a router with the given settings. */
+    suspend fun launch(settings: RouterOptions): RunningRouter {
         val loop = loops.next()
-        val router = Router(settings, loop) { violations += it }
+        val formats = WireFormats(OpenAiCallerDialect(settings.name, Instant.now()), OpenAiEndpointDialect())
+        val router = Router(settings, loop, formats, ::PlatformStore) { violations += it }
         withContext(loop.dispatcher()) { router.start() }
         return RunningRouter(router, loop, settings).also { running[settings.name] = it }
     }
@@ -136,10 +149,13 @@
     /** Changes the configuration in the store, as one accepted change. */
     suspend fun configure(change: (Configuration) -> Configuration) = platform.configure(change)
 
+    /** Takes a data centre out of service, or brings it back. */
+    suspend fun evacuate(dataCentre: DataCentreName, evacuated: Boolean) = platform.evacuate(dataCentre, evacuated)
+
     /** Asks a router whether it takes callers' requests. */
     suspend fun isReady(router: RunningRouter): Boolean = withContext(callerLoop.dispatcher()) {
-        val request = OutgoingRequest(HttpMethod.GET, "/readyz")
-        client.whole(router.options.address, request).getOrElse { null }?.successful ?: false
+        val request = OutgoingRequest(HttpMethod.GET, "/")
+        client.whole(router.options.readinessAddress, request).getOrElse { null }?.successful ?: false
     }
 
     /** Stops everything at once. */
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalLayout.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalLayout.kt
@@ -1,22 +1,34 @@
 package comfreypath.daemon.demo
 
-import comfreypath.coordination.model.Configuration
-import comfreypath.coordination.model.DataCentre
 import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.Endpoint
 import comfreypath.coordination.model.EndpointName
-import comfreypath.coordination.model.Route
-import comfreypath.coordination.model.Service
-import comfreypath.coordination.model.ServiceKind
 import comfreypath.coordination.model.ServiceName
-import comfreypath.coordination.model.Team
 import comfreypath.coordination.model.TeamName
 import comfreypath.coordination.model.VersionName
+import comfreypath.coordination.routing.CallerLimits
+import comfreypath.coordination.routing.Configuration
+import comfreypath.coordination.routing.Destination
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.EngineProfile
+import comfreypath.coordination.routing.Route
+import comfreypath.coordination.routing.RouteKind
+import comfreypath.coordination.routing.Service
+import comfreypath.coordination.routing.Team
+import comfreypath.openai.OpenAiCallerDialect
 import comfreypath.transport.Address
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
 
 private const val BOOKINGS = "bookings"
-private const val LARGE_TEAMS = 3
-private const val LARGE_TEAM_WEIGHT = 4
+private const val BOOKING_SLOTS = 16
+private const val CONNECTIONS = 1_024
+private const val CHAT_ATTEMPTS = 3
+private const val PLAIN_ATTEMPTS = 2
+private const val BODY_BYTES = 1_048_576
+private const val CACHE_TOKENS = 200_000L
+private const val BYTES_PER_TOKEN = 18_432L
 
 /** The names and records of a [LocalFleet]. */
 class LocalLayout(private val options: LocalFleetOptions) {
@@ -33,48 +45,66 @@
     fun dataCentre(number: Int): DataCentreName = DataCentreName("data-centre-${number % options.dataCentres + 1}")
 
     /** The record of the engine with the given number. */
-    fun engine(number: Int, address: Address): Endpoint = Endpoint(
-        name = EndpointName("engine-${number + 1}"),
-        service = ServiceName(model),
-        version = VersionName(options.engine.version),
-        dataCentre = dataCentre(number),
-        host = address.host,
-        port = address.port,
-        slots = options.engine.slots,
-        coldSlots = options.engine.coldSlots,
-        warmUp = options.engine.warmUp,
-    )
+    fun engine(number: Int, address: Address): Endpoint =
+        endpoint("engine-${number + 1}", model, number, address, options.engine.slots)
 
     /** The record of the booking server with the given number. */
-    fun bookingServer(number: Int, address: Address): Endpoint = Endpoint(
-        name = EndpointName("booking-${number + 1}"),
-        service = ServiceName(BOOKINGS),
-        version = VersionName("v1"),
-        dataCentre = dataCentre(number),
+    fun bookingServer(number: Int, address: Address): Endpoint =
+        endpoint("booking-${number + 1}", BOOKINGS, number, address, BOOKING_SLOTS)
+
+    private fun endpoint(name: String, service: String, number: Int, address: Address, slots: Int) = Endpoint(
+        name = EndpointName(name),
+        service = ServiceName(service),
         host = address.host,
         port = address.port,
+        dataCentre = dataCentre(number),
+        version = VersionName(options.engine.version),
+        slots = slots,
+        draining = false,
+        coldMilliseconds = 0,
+        startedAt = null,
     )
 
-    /** The first configuration, with the given endpoints. */
-    fun configuration(endpoints: List<Endpoint>): Configuration = Configuration(
-        generation = 1,
-        teams = (0 until options.teams).map { team(it) },
-        services = listOf(Service(ServiceName(model), ServiceKind.MODEL), bookings()),
-        dataCentres = (0 until options.dataCentres).map { DataCentre(dataCentre(it)) },
-        endpoints = endpoints,
+    /** The first configuration. */
+    fun configuration(): Configuration = Configuration(
+        version = 1,
+        routes = persistentListOf(
+            route("chat", OpenAiCallerDialect.CHAT_HOST, "/$model/", RouteKind.STREAMING, model),
+            route("book", OpenAiCallerDialect.SERVICE_HOST, "/$BOOKINGS/bookings/write/", RouteKind.NON_IDEMPOTENT, BOOKINGS),
+            route("look-up", OpenAiCallerDialect.SERVICE_HOST, "/$BOOKINGS/bookings/read/", RouteKind.IDEMPOTENT, BOOKINGS),
+        ),
+        services = persistentMapOf(
+            ServiceName(model) to service(model, EngineProfile(options.engine.slots, CACHE_TOKENS, BYTES_PER_TOKEN, 1, false, false)),
+            ServiceName(BOOKINGS) to service(BOOKINGS, null),
+        ),
+        limits = CallerLimits(bodyBytes = BODY_BYTES, idleTimeout = Duration.ofMinutes(2)),
+        teams = (0 until options.teams)
+            .map { Team(TeamName("team-${it + 1}"), persistentListOf(keyOf(it)), priority = null) }
+            .toImmutableList(),
     )
 
-    private fun team(number: Int): Team {
-        val weight = if (number < LARGE_TEAMS) LARGE_TEAM_WEIGHT else 1
-        return Team(TeamName("team-${number + 1}"), apiKeys = listOf(keyOf(number)), weight = weight)
-    }
+    private fun route(name: String, host: String, path: String, kind: RouteKind, service: String) = Route(
+        name = name,
+        host = host,
+        pathPrefix = path,
+        kind = kind,
+        timeout = if (kind == RouteKind.STREAMING) Duration.ofMinutes(2) else Duration.ofSeconds(10),
+        latencyTarget = Duration.ofSeconds(1),
+        gapTarget = if (kind == RouteKind.STREAMING) Duration.ofSeconds(1) else null,
+        priority = 0,
+        destinations = persistentListOf(Destination(ServiceName(service), 1)),
+        maxAttempts = if (kind == RouteKind.STREAMING) CHAT_ATTEMPTS else PLAIN_ATTEMPTS,
+        public = false,
+        cacheAffinity = kind == RouteKind.STREAMING,
+        resumable = kind == RouteKind.STREAMING,
+    )
 
-    private fun bookings() = Service(
-        name = ServiceName(BOOKINGS),
-        kind = ServiceKind.PLAIN,
-        routes = listOf(
-            Route("/bookings", methods = listOf("POST"), idempotent = false),
-            Route("/bookings", methods = listOf("GET"), idempotent = true),
-        ),
+    private fun service(name: String, engine: EngineProfile?) = Service(
+        name = ServiceName(name),
+        healthPath = "/health",
+        maxConnections = CONNECTIONS,
+        coldStart = Duration.ZERO,
+        coldRequestsPerSecond = 0.0,
+        engine = engine,
     )
 }
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalPlatform.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalPlatform.kt
@@ -1,13 +1,12 @@
 package comfreypath.daemon.demo
 
 import com.github.michaelbull.result.getOrElse
-import comfreypath.coordination.model.Configuration
-import comfreypath.protocols.ObjectMetadata
-import comfreypath.protocols.PlatformObject
-import comfreypath.protocols.wireJson
-import comfreypath.router.platform.CONFIGURATION_KIND
-import comfreypath.router.platform.CONFIGURATION_NAME
-import comfreypath.router.platform.InstanceRecord
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.routing.Configuration
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.platform.PlatformDocuments
+import comfreypath.platform.StoreWire
+import comfreypath.router.store.ObjectKinds
 import comfreypath.transport.Address
 import comfreypath.transport.HttpClient
 import comfreypath.transport.OutgoingRequest
@@ -15,37 +14,56 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.coroutines.withContext
-import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
 
-/** Plays the platform and its operators towards the object store: lists instances and changes the configuration. */
+/** Plays operators and servers towards the object store. */
 internal class LocalPlatform(private val loop: EventLoop, private val store: Address) {
     private val client = HttpClient(loop)
+    private val configurationPath = "${PlatformDocuments.CONFIGURATION_KIND}/${ObjectKinds.CONFIGURATION_NAME}"
 
-    suspend fun createInstance(record: InstanceRecord) =
-        create(InstanceRecord.KIND, record.name.text, record, InstanceRecord.serializer())
+    /** Registers a server, or changes what it says of itself. */
+    suspend fun register(endpoint: Endpoint) =
+        create(PlatformDocuments.ENDPOINT_KIND, endpoint.name.text, PlatformDocuments.encode(endpoint, beats = 1))
 
-    suspend fun createConfiguration(configuration: Configuration) =
-        create(CONFIGURATION_KIND, CONFIGURATION_NAME, configuration, Configuration.serializer())
+    suspend fun createConfiguration(configuration: Configuration) = create(
+        PlatformDocuments.CONFIGURATION_KIND,
+        ObjectKinds.CONFIGURATION_NAME,
+        PlatformDocuments.encode(configuration),
+    )
 
+    /** Replaces the configuration by what [change] makes of it, with the next version. */
     suspend fun configure(change: (Configuration) -> Configuration) {
-        val path = "/$CONFIGURATION_KIND/$CONFIGURATION_NAME"
-        val current = wireJson.decodeFromString<PlatformObject>(call(HttpMethod.GET, path, ""))
-        val value = wireJson.decodeFromJsonElement(Configuration.serializer(), current.spec)
-        val next = change(value).copy(generation = value.generation + 1)
-        val written = current.copy(spec = wireJson.encodeToJsonElement(Configuration.serializer(), next).jsonObject)
-        call(HttpMethod.PUT, path, wireJson.encodeToString(written))
+        val current = Json.parseToJsonElement(call(HttpMethod.GET, configurationPath, "")).jsonObject
+        val value = PlatformDocuments.decodeConfiguration(current.getValue(StoreWire.SPEC).jsonObject)
+        val next = change(value).copy(version = value.version + 1)
+        val document = JsonObject(current + (StoreWire.SPEC to PlatformDocuments.encode(next)))
+        call(HttpMethod.PUT, configurationPath, document.toString())
     }
 
-    private suspend fun <T> create(kind: String, name: String, value: T, type: KSerializer<T>) {
-        val spec = wireJson.encodeToJsonElement(type, value).jsonObject
-        val body = wireJson.encodeToString(PlatformObject(kind, ObjectMetadata(name), spec))
-        call(HttpMethod.POST, "/$kind", body)
+    /** Orders a data centre to be evacuated, or takes the order back. */
+    suspend fun evacuate(dataCentre: DataCentreName, evacuated: Boolean) {
+        if (evacuated) {
+            create(PlatformDocuments.EVACUATION_KIND, dataCentre.text, JsonObject(emptyMap()))
+        } else {
+            call(HttpMethod.DELETE, "${PlatformDocuments.EVACUATION_KIND}/${dataCentre.text}", "")
+        }
+    }
+
+    private suspend fun create(kind: String, name: String, spec: JsonElement) {
+        val document = buildJsonObject {
+            put(StoreWire.METADATA, buildJsonObject { put(StoreWire.NAME, JsonPrimitive(name)) })
+            put(StoreWire.SPEC, spec)
+        }
+        call(HttpMethod.POST, kind, document.toString())
     }
 
     private suspend fun call(method: HttpMethod, path: String, body: String): String = withContext(loop.dispatcher()) {
-        val uri = "/apis/comfreypath/v1$path"
-        val request = OutgoingRequest(method, uri, body = body.encodeToByteArray())
+        val request = OutgoingRequest(method, StoreWire.PATH + path, body = body.encodeToByteArray())
         client.whole(store, request).getOrElse { error("the object store did not answer: $it") }.text()
     }
 }
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
@@ -51,6 +51,10 @@
         /** A setting that may be left out. */
         fun optionalText(name: String, description: String) = Setting(name, description, "text", "", "any text") { it }
 
+        /** A setting that is one of the names of [choices]. */
+        fun <T : Any> choice(name: String, description: String, default: String, choices: Map<String, T>) =
+            Setting(name, description, "name", default, choices.keys.joinToString(" or ")) { choices[it] }
+
         /** A setting that is an IP number and a port. */
         fun address(name: String, description: String) =
             Setting(name, description, "IP:port", null, "an IP number and a port, such as 127.0.0.1:8080") {
--- /dev/null
+++ b/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
@@ -0,0 +1,90 @@
+package comfreypath.measure
+
+import comfreypath.coordination.fleet.ConfigurationProof
+import comfreypath.coordination.fleet.Fleet
+import comfreypath.coordination.fleet.FleetAction
+import comfreypath.coordination.fleet.FleetEvent
+import comfreypath.coordination.fleet.FleetOptions
+import comfreypath.coordination.fleet.FleetState
+import comfreypath.coordination.fleet.KindDigest
+import comfreypath.coordination.fleet.PeerAddress
+import comfreypath.coordination.fleet.PeerStatus
+import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import comfreypath.measure.fake.Simulation
+import kotlinx.serialization.json.Json
+import java.time.Duration
+
+private const val BYTES_LIMIT = 8_192.0
+private const val IN_FLIGHT_ENTRIES = 25
+private const val TICK_MILLISECONDS = 50L
+private const val DATA_CENTRES = 7
+private const val DATAGRAM_HEADER_BYTES = 28
+private const val DIGESTS = 4
+private const val PORT = 7_340
+
+/**
+ * Lets a whole fleet exchange statuses for so many seconds, and counts the bytes that one router sends and receives.
+ *
+ * Each router has requests at 25 endpoints: at the size of the users' letter 400 routers take 9,700 requests a second.
+ */
+internal class ControlTraffic(private val options: MeasureOptions) {
+    private val simulation = Simulation(options.seed)
+    private val fleet = Fleet(FleetOptions())
+    private val addresses = (1..options.routers).map { number ->
+        val dataCentre = DataCentreName("data-centre-${number % DATA_CENTRES + 1}")
+        PeerAddress(InstanceName("router-$number"), "10.0.${number / 256}.${number % 256}", PORT, dataCentre)
+    }
+    private val states = addresses.associate { it.name to FleetState(it.name, it.name.hashCode()) }.toMutableMap()
+    private val bytes = HashMap<InstanceName, Long>()
+
+    fun run(): MeasureReport {
+        addresses.forEach { step(it, FleetEvent.Registered(addresses)) }
+        addresses.forEach { address ->
+            val start = Duration.ofMillis(simulation.random.nextInt(TICK_MILLISECONDS.toInt()).toLong())
+            simulation.after(start) {
+                simulation.every(Duration.ofMillis(TICK_MILLISECONDS)) {
+                    step(address, FleetEvent.Due(statusOf(address)))
+                    true
+                }
+            }
+        }
+        simulation.runFor(Duration.ofSeconds(options.steps))
+        val busiest = bytes.values.max().toDouble() / options.steps
+        val unheard = states.values.sumOf { state ->
+            state.peers.size - state.live(FleetOptions(), simulation.instant()).size
+        }
+        return MeasureReport.of(
+            name = "control-traffic",
+            options = options,
+            violations = unheard.toLong(),
+            figures = listOf(
+                Figure("routers", options.routers.toDouble(), "routers"),
+                Figure("time between two statuses", FleetOptions().interval(options.routers - 1).toMillis().toDouble(), "ms"),
+            ),
+            targets = listOf(Target.atMost("bytes at the busiest router", rounded(busiest), BYTES_LIMIT, "bytes/s")),
+        )
+    }
+
+    private fun statusOf(address: PeerAddress) = PeerStatus(
+        from = address.name,
+        dataCentre = address.dataCentre,
+        stamp = StatusStamp(address.name.hashCode(), simulation.instant().toEpochMilli()),
+        ready = true,
+        configuration = ConfigurationProof(version = 18_000, ageMilliseconds = 1_000),
+        digests = (1..DIGESTS).associate { "kind-$it" to KindDigest(1_000_000, Int.MAX_VALUE) },
+        inFlight = (1..IN_FLIGHT_ENTRIES).associate { "i-10fd17e05d$it" to 1 },
+    )
+
+    private fun step(address: PeerAddress, event: FleetEvent) {
+        val next = fleet.step(states.getValue(address.name), event, simulation.instant())
+        states[address.name] = next.state
+        next.actions.filterIsInstance<FleetAction.Send>().forEach { send ->
+            val size = Json.encodeToString(send.status).length + DATAGRAM_HEADER_BYTES
+            bytes.merge(address.name, size.toLong(), Long::plus)
+            bytes.merge(send.to.name, size.toLong(), Long::plus)
+            simulation.after(Duration.ofMillis(1)) { step(send.to, FleetEvent.Heard(send.status, address)) }
+        }
+    }
+}
--- a/measure/src/main/kotlin/comfreypath/measure/MeasureReport.kt
+++ b/measure/src/main/kotlin/comfreypath/measure/MeasureReport.kt
@@ -63,3 +63,8 @@
  * @property steps how many requests, runs or seconds, as the measurement's name says
  */
 data class MeasureOptions(val seed: Long, val steps: Long, val routers: Int, val endpoints: Int)
+
+private const val DIGITS = 10_000.0
+
+/** [value] to four decimal places, so that equal runs print equal figures. */
+internal fun rounded(value: Double): Double = kotlin.math.round(value * DIGITS) / DIGITS
--- a/protocols/src/main/kotlin/comfreypath/protocols/ErrorBody.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/ErrorBody.kt
@@ -1,4 +1,4 @@
-package comfreypath.protocols
+package comfreypath.openai
 
 import kotlinx.serialization.Serializable
 
--- /dev/null
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiCallerDialect.kt
@@ -0,0 +1,168 @@
+package comfreypath.openai
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.fold
+import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.model.RequestId
+import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.mix
+import comfreypath.coordination.routing.Prompt
+import comfreypath.coordination.routing.PromptPart
+import comfreypath.router.request.CallerDialect
+import comfreypath.router.request.CallerRequest
+import comfreypath.router.request.Refusal
+import comfreypath.router.request.RefusalCode
+import comfreypath.router.request.RouteAddress
+import comfreypath.router.request.WholeAnswer
+import comfreypath.router.telemetry.TRACE_PARENT
+import comfreypath.transport.IncomingRequest
+import comfreypath.transport.decodeJson
+import comfreypath.transport.wireJson
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.collections.immutable.toImmutableList
+import java.time.Instant
+
+private const val CHAT_PATH = "/v1/chat/completions"
+private const val SERVICES_PATH = "/services/"
+private const val KEY_SCHEME = "Bearer "
+private const val LONGEST_KEY = 256
+private const val CHARACTERS_PER_TOKEN = 4
+private const val BASE_36 = 36
+
+/**
+ * Callers of the OpenAI-style interface: chat completions by model, and plain services by name.
+ *
+ * A chat's route is looked up under the host [CHAT_HOST] with the model's name as its path, a plain service's under
+ * the host [SERVICE_HOST] with the rest of the path.
+ *
+ * @param instance makes the identities that this router gives to requests unique in the fleet
+ */
+class OpenAiCallerDialect(private val instance: InstanceName, startedAt: Instant) : CallerDialect {
+    private val incarnation = startedAt.toEpochMilli().toString(BASE_36)
+    private var received = 0L
+
+    override fun read(request: IncomingRequest, receivedAt: Instant): Result<CallerRequest, Refusal> = when {
+        request.path == CHAT_PATH && request.method == HttpMethod.POST -> chat(request, receivedAt)
+        request.path == CHAT_PATH -> Err(wrongMethod(request))
+        request.path.startsWith(SERVICES_PATH) && request.method !in SERVICE_METHODS -> Err(wrongMethod(request))
+        request.path.startsWith(SERVICES_PATH) -> service(request, receivedAt)
+        else -> Err(Refusal(RefusalCode.UNKNOWN_ROUTE, "there is nothing at ${request.path}"))
+    }
+
+    private fun wrongMethod(request: IncomingRequest) =
+        Refusal(RefusalCode.WRONG_METHOD, "${request.path} does not take ${request.method}")
+
+    private fun chat(request: IncomingRequest, receivedAt: Instant): Result<CallerRequest, Refusal> =
+        decodeJson<ChatCompletionRequest>(request.text())
+            .andThen { if (it.messages.isEmpty()) Err("there is no message") else Ok(it) }
+            .fold(
+                success = { completion ->
+                    val address = RouteAddress(CHAT_HOST, "/${completion.model}/")
+                    Ok(callerRequest(request, address, request.uri, receivedAt, prompt = promptOf(completion)))
+                },
+                failure = { wrong ->
+                    val fault = Refusal(RefusalCode.BAD_INPUT, wrong)
+                    val address = RouteAddress(CHAT_HOST, "/")
+                    Ok(callerRequest(request, address, request.uri, receivedAt, fault = fault))
+                },
+            )
+
+    private fun service(request: IncomingRequest, receivedAt: Instant): Result<CallerRequest, Refusal> {
+        val rest = request.uri.removePrefix(SERVICES_PATH.dropLast(1))
+        val key = request.headers.get(OpenAiHeaders.IDEMPOTENCY_KEY)
+        val method = if (request.method == HttpMethod.GET) "read" else "write"
+        return if (key != null && (key.isEmpty() || key.length > LONGEST_KEY)) {
+            Err(Refusal(RefusalCode.BAD_INPUT, "an Idempotency-Key has 1 to $LONGEST_KEY characters"))
+        } else {
+            val path = rest.substringBefore('?').trimEnd('/')
+            Ok(
+                callerRequest(
+                    request = request,
+                    address = RouteAddress(SERVICE_HOST, "$path/$method/"),
+                    uri = "/" + rest.trimStart('/').substringAfter('/', ""),
+                    receivedAt = receivedAt,
+                    idempotencyKey = key,
+                ),
+            )
+        }
+    }
+
+    private fun callerRequest(
+        request: IncomingRequest,
+        address: RouteAddress,
+        uri: String,
+        receivedAt: Instant,
+        prompt: Prompt? = null,
+        idempotencyKey: String? = null,
+        fault: Refusal? = null,
+    ): CallerRequest {
+        received += 1
+        val forwarded = DefaultHttpHeaders()
+        request.headers.get("content-type")?.let { forwarded.set("content-type", it) }
+        request.headers.get(TRACE_PARENT)?.let { forwarded.set(TRACE_PARENT, it) }
+        return CallerRequest(
+            id = RequestId("${instance.text}-$incarnation-${received.toString(BASE_36)}"),
+            address = address,
+            method = request.method,
+            uri = uri,
+            forwarded = forwarded,
+            body = request.body,
+            patience = null,
+            apiKey = request.headers.get("authorization")
+                ?.takeIf { it.startsWith(KEY_SCHEME, ignoreCase = true) }
+                ?.substring(KEY_SCHEME.length),
+            prompt = prompt,
+            resumeAfter = request.headers.get(OpenAiHeaders.LAST_EVENT)?.toLongOrNull(),
+            receivedAt = receivedAt,
+            idempotencyKey = idempotencyKey,
+            fault = fault,
+        )
+    }
+
+    /** The chat's parts: one that all its turns share, by the caller's key for the chat, and the turn's own. */
+    private fun promptOf(completion: ChatCompletionRequest): Prompt {
+        val tokens = completion.messages.sumOf { it.content.length } / CHARACTERS_PER_TOKEN + 1
+        val first = completion.messages.first().content
+        val shared = hashOf(completion.promptCacheKey ?: first)
+        val own = mix(shared, hashOf(completion.messages.joinToString("\n") { it.content }))
+        return Prompt(
+            model = completion.model,
+            promptTokens = tokens,
+            outputTokens = completion.maximumTokens,
+            parts = listOf(PromptPart(shared, tokens), PromptPart(own, 1)).toImmutableList(),
+            expectedOutputTokens = null,
+        )
+    }
+
+    override fun encode(refusal: Refusal, request: CallerRequest?): WholeAnswer {
+        val headers = DefaultHttpHeaders().set("content-type", "application/json")
+        request?.let { headers.set(OpenAiHeaders.REQUEST_ID, it.id.text) }
+        val seconds = refusal.retryAfter?.let { (it.toMillis() + ROUND_UP_MILLISECONDS) / MILLISECONDS_PER_SECOND }
+        seconds?.let { headers.set("retry-after", it) }
+        val unknownModel = refusal.code == RefusalCode.UNKNOWN_ROUTE && request?.address?.host == CHAT_HOST
+        val detail = ErrorDetail(
+            code = if (unknownModel) "unknown_model" else refusal.code.text,
+            message = refusal.detail,
+            verdict = if (refusal.code.mayHaveRun) "mayHaveRun" else "notRun",
+            retryAfterSeconds = seconds,
+            requestId = request?.id?.text,
+        )
+        return WholeAnswer(refusal.code.status, headers, wireJson.encodeToString(ErrorBody(detail)).encodeToByteArray())
+    }
+
+    companion object {
+        /** The host under which routes of chats are configured, with the model's name as their path. */
+        const val CHAT_HOST = "chat"
+
+        /** The host of plain services; paths end in `/read/` or `/write/`, by the method. */
+        const val SERVICE_HOST = "services"
+
+        private val SERVICE_METHODS = setOf(HttpMethod.GET, HttpMethod.POST)
+        private const val MILLISECONDS_PER_SECOND = 1_000L
+        private const val ROUND_UP_MILLISECONDS = 999L
+    }
+}
--- a/protocols/src/main/kotlin/comfreypath/protocols/ServerSentEvent.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/ServerSentEvent.kt
@@ -1,4 +1,4 @@
-package comfreypath.protocols
+package comfreypath.openai
 
 /**
  * One server-sent event, after the HTML standard.
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -1,169 +1,260 @@
 package comfreypath.router
 
-import com.github.michaelbull.result.onOk
+import comfreypath.router.peers.PeerCopies
+import comfreypath.router.peers.PeerLink
+import comfreypath.router.peers.Registration
+import comfreypath.router.request.CallerDialect
+import comfreypath.router.request.CallerExchange
+import comfreypath.router.request.EndpointDialect
+import comfreypath.router.request.EndpointSelector
+import comfreypath.router.request.FaultFilter
+import comfreypath.router.request.KeyFilter
+import comfreypath.router.request.Refusal
+import comfreypath.router.request.RefusalCode
+import comfreypath.router.request.RequestRelay
+import comfreypath.router.request.AnswerStage
+import comfreypath.router.claims.ClaimedRelay
+import comfreypath.router.claims.Claims
 import comfreypath.coordination.invariant.Invariant
 import comfreypath.coordination.invariant.InvariantMonitor
 import comfreypath.coordination.invariant.InvariantViolation
-import comfreypath.coordination.membership.Member
-import comfreypath.coordination.membership.MembershipEvent
-import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.InstanceName
-import comfreypath.router.claims.Claims
-import comfreypath.router.endpoint.OwnedEndpoints
-import comfreypath.router.entry.Dispatcher
-import comfreypath.router.entry.EntryPipeline
-import comfreypath.router.fleet.FleetNode
-import comfreypath.router.fleet.PeerConfiguration
-import comfreypath.router.fleet.PoolLoads
-import comfreypath.router.platform.ConfigurationHolder
-import comfreypath.router.platform.ConfigurationRelay
-import comfreypath.router.platform.InstanceRecord
-import comfreypath.router.platform.ObjectStore
-import comfreypath.router.platform.StoreBudget
-import comfreypath.router.platform.typed
+import comfreypath.router.request.RequestPipeline
+import comfreypath.router.request.RouteFilter
+import comfreypath.router.request.pipeline
+import comfreypath.router.sending.EndpointLedger
+import comfreypath.router.sending.EndpointSender
+import comfreypath.router.store.ObjectKind
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.telemetry.EventLog
+import comfreypath.router.telemetry.OpenTelemetryTracing
 import comfreypath.router.telemetry.RouterMetrics
 import comfreypath.router.telemetry.Tracing
+import comfreypath.router.view.ClusterView
+import comfreypath.router.view.ConfigurationProbe
+import comfreypath.router.view.ConfigurationSink
+import comfreypath.router.view.StoreFollower
+import comfreypath.router.view.StoreSink
+import comfreypath.transport.Address
+import comfreypath.transport.ConnectionPool
+import comfreypath.transport.HttpConnector
 import comfreypath.transport.HttpServer
+import comfreypath.transport.HttpServerOptions
+import comfreypath.transport.IncomingRequest
+import comfreypath.transport.ResponseWriter
+import comfreypath.transport.whole
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.time.Duration
-import java.time.Instant
-import java.time.InstantSource
 
+private const val SWEEP_MILLISECONDS = 500L
 private const val STOP_POLL_MILLISECONDS = 20L
-private const val SEED_MILLISECONDS = 500L
-private const val GREETINGS = 2
-private const val HEARING_MILLISECONDS = 600L
+private const val LEAVE_NOTICE_MILLISECONDS = 2_500L
+
+/** The adapters of the wire formats that a router speaks. */
+class WireFormats(val callers: CallerDialect, val endpoints: EndpointDialect)
 
 /**
- * One router: takes callers' requests, owns a share of the endpoints, and acts together with its peers.
+ * One router: takes callers' requests and sends them to endpoints, as the platform's store tells.
  *
  * Everything runs on [loop]'s thread; call [start] and [stop] from coroutines on it.
- *
- * @property report called for each invariant that did not hold
  */
 class Router(
-    private val options: RouterOptions,
-    private val loop: EventLoop,
-    clock: InstantSource = InstantSource.system(),
+    options: RouterOptions,
+    loop: EventLoop,
+    private val formats: WireFormats,
+    storeFor: (RouterContext, HttpConnector) -> ObjectStore,
     private val report: (InvariantViolation) -> Unit = {},
 ) {
+    private val clock = SteadyClock()
+    private val log = EventLog(options.name, clock)
     private val context = RouterContext(
         options = options,
         loop = loop,
         clock = clock,
-        monitor = InvariantMonitor(::violated),
+        log = log,
         metrics = RouterMetrics(),
-        tracing = Tracing.to(options.traceCollector, options.name),
+        monitor = InvariantMonitor(::violated),
+        tracing = options.traceCollector?.let { OpenTelemetryTracing.to(it, options.name) } ?: Tracing.NONE,
+    )
+    private val connector = HttpConnector(loop)
+    private val store = storeFor(context, connector)
+    private val view = ClusterView(context)
+    private val configurationSink = ConfigurationSink(context, view)
+    private val probe = ConfigurationProbe(context, store, view, configurationSink)
+    private val pool = ConnectionPool(connector, clock)
+    private val ledger = EndpointLedger(clock)
+    private val selector = EndpointSelector(view, ledger, options.dataCentre) { peers.inFlightElsewhere(it) }
+    private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
+    private val peers = PeerLink(context, view, ledger, ::ready)
+    private val copies = PeerCopies(
+        context,
+        store,
+        mapOf(
+            ObjectKinds.CONFIGURATION.label to view::configurationCopy,
+            ObjectKinds.ENDPOINTS.label to view.endpoints::copy,
+            ObjectKinds.ROLLOUTS.label to view.rollouts::copy,
+            ObjectKinds.EVACUATIONS.label to view.evacuations::copy,
+            ObjectKinds.ROUTERS.label to view.routers::copy,
+        ),
+    )
+    private val registration = Registration(context, store)
+    private val configurationFollower = follower(ObjectKinds.CONFIGURATION, configurationSink)
+    private val followers: Map<String, StoreFollower<*>> = mapOf(
+        ObjectKinds.ENDPOINTS.code to follower(ObjectKinds.ENDPOINTS, view.endpoints),
+        ObjectKinds.ROLLOUTS.code to follower(ObjectKinds.ROLLOUTS, view.rollouts),
+        ObjectKinds.EVACUATIONS.code to follower(ObjectKinds.EVACUATIONS, view.evacuations),
+        ObjectKinds.ROUTERS.code to follower(ObjectKinds.ROUTERS, view.routers),
     )
-    private val budget = StoreBudget(context)
-    private val store = ObjectStore(context, budget)
-    private val configuration = ConfigurationHolder(context)
-    private val fleet = FleetNode(context, options.address)
-    private val relay = ConfigurationRelay(context, store, configuration, fleet)
-    private val peerConfiguration = PeerConfiguration(context, configuration)
-    private val endpoints = OwnedEndpoints(context, fleet, configuration)
-    private val poolLoads = PoolLoads(context, fleet, endpoints.pools::loads, endpoints.pools::learnt)
-    private val claims = Claims(context, store, fleet)
-    private val internal = InternalApi(context, endpoints, claims, configuration)
-    private val dispatcher = Dispatcher(context, fleet, endpoints)
-    private val entry = EntryPipeline(context, configuration, dispatcher, claims, ::ready)
-    private val front =
-        RouterFront(context, internal, entry::handle) { if (stopping) Readiness.LEAVING else readiness() }
-    private val server = HttpServer(loop, front.serverOptions(), front::handle)
-    private var startedAt: Instant = Instant.MAX
-    private var wasReady = false
+    private val claims = Claims(context, store)
+    private val relay = ClaimedRelay(
+        context,
+        claims,
+        RequestRelay(context, selector, sender, formats.endpoints::owns)::relay,
+    )
+    private val requests: RequestPipeline = RequestPipeline(context, formats.callers, stages())
+    private val callers = HttpServer(loop, ::callerLimits, requests::handle)
+    private val readiness = HttpServer(loop, HttpServerOptions(), ::tellReadiness)
+    private val metrics = HttpServer(loop, HttpServerOptions(), ::tellMetrics)
     private var stopping = false
 
     /** The metrics of this router. */
-    val metrics: RouterMetrics get() = context.metrics
+    val routerMetrics: RouterMetrics get() = context.metrics
 
-    /** The number of invariants violated so far. */
-    val violations: Long get() = context.monitor.total
+    private fun stages() = pipeline(
+        listOf(
+            FaultFilter(view, ::refuse)::filter,
+            RouteFilter(view, probe, ::refuse)::filter,
+            KeyFilter(view, probe, context.options.bounds.revocation.minus(KEY_MARGIN), ::refuse)::filter,
+        ),
+        AnswerStage(relay::run, ::refuse)::answer,
+    )
 
-    /** Listens, joins the fleet, and starts to follow the configuration. */
-    suspend fun start() {
-        server.start(options.address)
-        fleet.onNewerConfiguration = peerConfiguration::fetch
-        fleet.onRelease = { endpoints.released(it.endpoint, it.by, it.inFlight) }
-        fleet.onMembersChanged { budget.share(fleet.members.size) }
-        configuration.onChange { fleet.tell(MembershipEvent.GenerationChanged(it.generation)) }
-        endpoints.start()
-        fleet.start(options.address)
-        poolLoads.start()
-        claims.start()
-        relay.start()
-        startedAt = context.now()
-        context.scope.launch { seed() }
-        context.log.info("router listens on ${options.address}")
+    private fun <T : Any> follower(kind: ObjectKind<T>, sink: StoreSink<T>) =
+        StoreFollower(context, store, kind, sink, ::watchTime) { askPeers(kind, sink) }
+
+    /** Asks a peer that knows more about [kind] than this router, if there is one. */
+    private suspend fun <T : Any> askPeers(kind: ObjectKind<T>, sink: StoreSink<T>) {
+        peers.knowingMore(kind)?.let { copies.fetch(it, kind, sink) }
     }
 
-    /** Greets peers in the settings and the platform's list until one answers, and twice, as messages are lost. */
-    private suspend fun seed() {
-        val named = options.peers.map { Member(InstanceName(it.toString()), it.host, it.port, DataCentreName("")) }
-        var greetings = 0
-        while (fleet.members.size <= 1 || greetings < GREETINGS) {
-            greetings += 1
-            fleet.tell(MembershipEvent.Seeded(named))
-            store.list(InstanceRecord.KIND).onOk { list ->
-                val listed = list.items.map { it.typed(InstanceRecord.serializer()).value.toMember() }
-                fleet.tell(MembershipEvent.Seeded(listed))
+    /** The live routers together renew a watch of each kind at a steady rate, whatever their number. */
+    private fun watchTime(): Duration =
+        minOf(context.options.timeouts.watch.multipliedBy(peers.live.size + 1L), LONGEST_WATCH)
+
+    private suspend fun refuse(exchange: CallerExchange, refusal: Refusal) = requests.refuse(exchange, refusal)
+
+    /** Listens and starts to follow the store. */
+    suspend fun start() {
+        val options = context.options
+        log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
+        peers.onDigest = { code, digest -> followers[code]?.let { it.compare(view.digests()[code], digest) } }
+        peers.onNewerConfiguration = { peer ->
+            context.scope.launch {
+                if (!probe.probe()) copies.fetch(Address(peer.host, peer.port), ObjectKinds.CONFIGURATION, configurationSink)
             }
-            delay(SEED_MILLISECONDS)
         }
+        peers.start()
+        copies.start()
+        configurationFollower.start()
+        followers.values.forEach { it.start() }
+        probe.start()
+        registration.start()
+        claims.start()
+        callers.start(options.callerAddress)
+        readiness.start(options.readinessAddress)
+        metrics.start(options.metricsAddress)
+        context.scope.launch { sweep() }
+        log.record("started")
     }
 
-    /** True once the configuration is as new as that of every peer heard, and while a peer hears this router. */
-    private fun ready(): Boolean {
-        val generation = configuration.current.generation
-        val heardPeers = context.now() > startedAt + Duration.ofMillis(HEARING_MILLISECONDS)
-        wasReady = wasReady || (heardPeers && generation > 0 && generation >= fleet.highestGeneration)
-        return wasReady && !fleet.isolated
+    private suspend fun sweep() {
+        while (true) {
+            delay(SWEEP_MILLISECONDS)
+            pool.sweep()
+            ledger.retain { view.endpoint(it) != null }
+        }
     }
 
-    private fun readiness(): Readiness = if (ready()) Readiness.READY else Readiness.STARTING
-
-    /** Stops gracefully: gives its roles up, takes no new work, finishes what it has, and leaves. */
+    /** Stops gracefully: reports not ready, finishes what it has, and leaves. */
     suspend fun stop() {
         stopping = true
-        server.closeAfterResponse = true
-        fleet.tell(MembershipEvent.Leave)
-        context.log.info("router is leaving")
-        delay(options.timeouts.leaveNotice.toMillis())
-        server.stopAccepting()
-        val deadline = context.now() + options.timeouts.drain
-        while (working() && context.now() < deadline) {
+        val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_TIME)
+        log.record("stopping", "inProgress" to requests.inProgress)
+        delay(LEAVE_NOTICE_MILLISECONDS)
+        callers.closeAfterResponse = true
+        callers.stopAccepting()
+        while (context.now() < deadline && (requests.inProgress > 0 || callers.connectionCount > 0 || claims.busy)) {
+            callers.closeIdle()
             delay(STOP_POLL_MILLISECONDS)
         }
-        context.monitor.check(Invariant.GRACEFUL_STOP, !working()) { "the router stopped with work in progress" }
-        halt()
+        context.monitor.check(Invariant.GRACEFUL_STOP, requests.inProgress == 0) {
+            "${requests.inProgress} requests were in progress when the router stopped"
+        }
+        log.record("stopped", "inProgress" to requests.inProgress)
+        readiness.stop()
+        metrics.stop()
+        callers.stop()
+        peers.stop()
+        copies.stop()
+        context.tracing.stop()
+        context.scope.cancel()
     }
 
     /** Stops at once, as a crash would, cutting what is in progress. */
     suspend fun kill() {
         context.scope.cancel()
-        fleet.stop()
-        server.stop()
-        context.client.close()
-    }
-
-    private fun working(): Boolean =
-        entry.inProgress > 0 || internal.inProgress > 0 || endpoints.inFlight > 0 || claims.busy
-
-    private suspend fun halt() {
-        fleet.tell(MembershipEvent.Left)
-        fleet.stop()
-        server.stop()
-        context.client.close()
-        context.scope.cancel()
-        context.tracing.stop()
+        peers.stop()
+        copies.stop()
+        readiness.stop()
+        metrics.stop()
+        callers.stop()
     }
 
     private fun violated(violation: InvariantViolation) {
         context.metrics.violations.labelValues(violation.invariant.text).inc()
-        context.log.error("invariant ${violation.invariant.text} violated: ${violation.detail}")
+        log.record("invariant_violated", "invariant" to violation.invariant.text, "detail" to violation.detail)
         report(violation)
     }
+
+    private fun callerLimits(): HttpServerOptions {
+        val limits = view.configuration?.value?.limits
+        val defaults = HttpServerOptions(
+            connections = context.options.connections,
+            rejectionBody = { formats.callers.encode(Refusal(RefusalCode.BAD_INPUT, it.detail), null).body },
+        )
+        return if (limits == null) {
+            defaults
+        } else {
+            defaults.copy(
+                headerBytes = limits.headerBytes,
+                bodyBytes = limits.bodyBytes,
+                receiveTimeout = limits.headerTimeout,
+                idleTimeout = limits.idleTimeout,
+            )
+        }
+    }
+
+    private fun ready(): Boolean = !stopping && view.configuration != null && view.endpoints.confirmedAt != null
+
+    private suspend fun tellReadiness(request: IncomingRequest, writer: ResponseWriter) {
+        val status = if (ready()) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+        writer.whole(status, mapOf("content-type" to "text/plain"), "${request.path}\n".encodeToByteArray())
+    }
+
+    private suspend fun tellMetrics(request: IncomingRequest, writer: ResponseWriter) {
+        val found = request.path == "/metrics"
+        val status = if (found) HttpResponseStatus.OK else HttpResponseStatus.NOT_FOUND
+        val body = if (found) context.metrics.text() else ByteArray(0)
+        writer.whole(status, mapOf("content-type" to "text/plain; version=0.0.4; charset=utf-8"), body)
+    }
+
+    private companion object {
+        val KEY_MARGIN: Duration = Duration.ofMillis(500)
+        val EXIT_TIME: Duration = Duration.ofMillis(350)
+        val LONGEST_WATCH: Duration = Duration.ofSeconds(25)
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -1,10 +1,9 @@
 package comfreypath.router
 
 import comfreypath.coordination.invariant.InvariantMonitor
-import comfreypath.router.telemetry.JsonLog
+import comfreypath.router.telemetry.EventLog
 import comfreypath.router.telemetry.RouterMetrics
 import comfreypath.router.telemetry.Tracing
-import comfreypath.transport.HttpClient
 import comfreypath.transport.dispatcher
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -22,15 +21,14 @@
     val options: RouterOptions,
     val loop: EventLoop,
     val clock: InstantSource,
-    val monitor: InvariantMonitor,
+    val log: EventLog,
     val metrics: RouterMetrics,
+    val monitor: InvariantMonitor,
     val tracing: Tracing,
 ) {
-    val log = JsonLog(options.name, clock)
-    val client = HttpClient(loop, options.timeouts.connect)
     val scope = CoroutineScope(
         loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure ->
-            log.error("a background task failed", failure)
+            log.record("task_failed", "error" to failure.toString())
         },
     )
 
--- a/router/src/main/kotlin/comfreypath/router/node/SteadyClock.kt
+++ b/router/src/main/kotlin/comfreypath/router/SteadyClock.kt
@@ -1,4 +1,4 @@
-package comfreypath.router.node
+package comfreypath.router
 
 import java.time.Instant
 import java.time.InstantSource
--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
@@ -10,9 +10,10 @@
 import comfreypath.coordination.claims.ClaimShardState
 import comfreypath.coordination.claims.LoadedShard
 import comfreypath.router.RouterContext
-import comfreypath.router.platform.ObjectStore
-import comfreypath.router.platform.StoreFailure
-import comfreypath.router.platform.StoredValue
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoredObject
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CompletableDeferred
@@ -20,7 +21,6 @@
 import java.time.Duration
 import java.time.Instant
 
-private const val KIND = "claims"
 private const val FORGET_SECONDS = 5L
 
 /** Carries out what a [ClaimShard] decides for one shard: reads and writes its object, and answers those who ask. */
@@ -70,25 +70,35 @@
     }
 
     private suspend fun read() {
-        store.read(KIND, name, ClaimShardContent.serializer()).fold(
-            success = { step(ClaimShardEvent.ReadDone(loaded(it))) },
+        store.read(ObjectKinds.CLAIMS, name).fold(
+            success = { stored -> loaded(stored)?.let { step(ClaimShardEvent.ReadDone(it)) } ?: unreadable() },
             failure = { step(ClaimShardEvent.ReadFailed) },
         )
     }
 
-    private fun loaded(stored: StoredValue<ClaimShardContent>?): LoadedShard =
-        if (stored == null) {
-            LoadedShard(revision = 0, records = persistentMapOf())
-        } else {
-            LoadedShard(stored.revision.toLong(), stored.value.records.toPersistentMap())
-        }
+    private fun unreadable() {
+        context.log.record("claims_unreadable", "shard" to name)
+        step(ClaimShardEvent.ReadFailed)
+    }
+
+    private fun loaded(stored: StoredObject<ClaimShardContent>?): LoadedShard? = when {
+        stored == null -> LoadedShard(revision = 0, records = persistentMapOf())
+        else -> stored.value.fold(
+            success = { LoadedShard(stored.revision, it.records.toPersistentMap()) },
+            failure = { null },
+        )
+    }
 
     private suspend fun write(action: ClaimShardAction.Write) {
-        val expected = action.expectedRevision.takeIf { it > 0 }?.toString()
         val content = ClaimShardContent(action.records)
-        store.write(KIND, name, content, ClaimShardContent.serializer(), expected).fold(
-            success = { step(ClaimShardEvent.WriteDone(it.toLong())) },
-            failure = { step(ClaimShardEvent.WriteNotConfirmed(conflict = it == StoreFailure.Conflict)) },
+        val written = if (action.expectedRevision > 0) {
+            store.replace(ObjectKinds.CLAIMS, name, content, action.expectedRevision)
+        } else {
+            store.create(ObjectKinds.CLAIMS, name, content)
+        }
+        written.fold(
+            success = { step(ClaimShardEvent.WriteDone(it.revision)) },
+            failure = { step(ClaimShardEvent.WriteNotConfirmed(conflict = it == StoreError.Conflict)) },
         )
     }
 
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimedRelay.kt
@@ -0,0 +1,122 @@
+package comfreypath.router.claims
+
+import comfreypath.coordination.claims.AttemptId
+import comfreypath.coordination.claims.ClaimAnswer
+import comfreypath.coordination.claims.ClaimKey
+import comfreypath.coordination.claims.ClaimOperation
+import comfreypath.coordination.claims.RecordedAnswer
+import comfreypath.coordination.model.TeamName
+import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.mix
+import comfreypath.coordination.routing.RouteKind
+import comfreypath.router.RouterContext
+import comfreypath.router.request.CallerExchange
+import comfreypath.router.request.Refusal
+import comfreypath.router.request.RefusalCode
+import comfreypath.router.request.Relay
+import comfreypath.router.request.RelayResult
+import comfreypath.router.request.WholeAnswer
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.time.Duration
+
+private const val LONGEST_RECORDED_BODY = 8_192
+private const val REPLAYED_HEADER = "idempotency-replayed"
+
+/**
+ * Runs a request that may not be repeated at most once for each idempotency key: the key is claimed before the request
+ * is sent, and the answer is recorded after. Requests without a key are relayed as they are.
+ */
+class ClaimedRelay(private val context: RouterContext, private val claims: Claims, private val relay: Relay) {
+    /** Relays the request, or repeats the answer of the one that ran under its key. */
+    suspend fun run(exchange: CallerExchange): RelayResult {
+        val key = exchange.request.idempotencyKey
+        if (key == null || exchange.route.kind != RouteKind.NON_IDEMPOTENT) {
+            return relay(exchange)
+        }
+        val claimKey = ClaimKey(exchange.team ?: TeamName(""), key)
+        val attempt = AttemptId(exchange.request.id.text)
+        val fingerprint = fingerprint(exchange)
+        return when (val claimed = claim(ClaimOperation.Claim(claimKey, attempt, fingerprint))) {
+            is ClaimAnswer.Granted -> runClaimed(exchange, claimKey, attempt)
+            is ClaimAnswer.Taken -> repeat(exchange, claimed, fingerprint)
+            is ClaimAnswer.Stored, is ClaimAnswer.Unavailable -> unclaimed(claimKey, attempt, claimed)
+        }
+    }
+
+    /** Claims the key; while another attempt holds it, waits a while for that one's answer. */
+    private suspend fun claim(operation: ClaimOperation.Claim): ClaimAnswer {
+        val patience = context.now() + ANSWER_PATIENCE
+        var claimed = claims.submit(operation)
+        while (claimed is ClaimAnswer.Taken && claimed.answer == null && context.now() < patience) {
+            delay(ANSWER_POLL.toMillis())
+            claimed = claims.submit(operation)
+        }
+        return claimed
+    }
+
+    private fun fingerprint(exchange: CallerExchange): Long = mix(
+        hashOf("${exchange.request.method} ${exchange.request.uri}"),
+        hashOf(exchange.request.body.decodeToString()),
+    )
+
+    private suspend fun runClaimed(exchange: CallerExchange, key: ClaimKey, attempt: AttemptId): RelayResult =
+        context.scope.async {
+            val result = relay(exchange)
+            context.scope.launch { settle(key, attempt, result) }
+            result
+        }.await()
+
+    /** Records the answer, or gives the key back when the request has not run. */
+    private suspend fun settle(key: ClaimKey, attempt: AttemptId, result: RelayResult) {
+        when (result) {
+            is RelayResult.Answer -> claims.submit(ClaimOperation.Record(key, attempt, result.answer.toRecord()))
+            is RelayResult.Refused ->
+                if (!result.refusal.code.mayHaveRun) claims.submit(ClaimOperation.Release(key, attempt))
+            is RelayResult.Streamed -> Unit
+        }
+    }
+
+    private fun WholeAnswer.toRecord() = RecordedAnswer(
+        status = status,
+        contentType = headers.get("content-type") ?: "application/octet-stream",
+        body = body.takeIf { it.size <= LONGEST_RECORDED_BODY }?.decodeToString(),
+    )
+
+    private fun repeat(exchange: CallerExchange, taken: ClaimAnswer.Taken, fingerprint: Long): RelayResult {
+        val answer = taken.answer
+        val body = answer?.body
+        return when {
+            taken.fingerprint != fingerprint && taken.fingerprint != 0L -> RelayResult.Refused(
+                Refusal(RefusalCode.KEY_REUSED, "the key was used before with another request"),
+            )
+            answer == null || body == null -> RelayResult.Refused(
+                Refusal(
+                    RefusalCode.OUTCOME_UNKNOWN,
+                    "the first request with this key may have run, and its answer is not known",
+                ),
+            )
+            else -> {
+                val headers = DefaultHttpHeaders().set("content-type", answer.contentType).set(REPLAYED_HEADER, "true")
+                context.log.record("answer_replayed", "request" to exchange.request.id, "status" to answer.status)
+                RelayResult.Answer(WholeAnswer(answer.status, headers, body.encodeToByteArray()), endpoint = null)
+            }
+        }
+    }
+
+    private fun unclaimed(key: ClaimKey, attempt: AttemptId, answer: ClaimAnswer): RelayResult {
+        context.scope.launch { claims.submit(ClaimOperation.Release(key, attempt)) }
+        val reason = (answer as? ClaimAnswer.Unavailable)?.reason.orEmpty()
+        return RelayResult.Refused(
+            Refusal(RefusalCode.CLAIMS_UNAVAILABLE, "the key cannot be claimed: $reason", retryAfter = RETRY),
+        )
+    }
+
+    private companion object {
+        val RETRY: Duration = Duration.ofSeconds(2)
+        val ANSWER_PATIENCE: Duration = Duration.ofSeconds(3)
+        val ANSWER_POLL: Duration = Duration.ofMillis(50)
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -12,13 +12,17 @@
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.InstanceName
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.sending.EndpointLedger
+import comfreypath.router.store.ObjectKind
+import comfreypath.router.store.ObjectKinds
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
 import comfreypath.transport.DatagramSocket
+import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
@@ -29,7 +33,7 @@
 
 /** Exchanges statuses with the other routers. */
 class PeerLink(
-    private val context: NodeContext,
+    private val context: RouterContext,
     private val view: ClusterView,
     private val ledger: EndpointLedger,
     private val ready: () -> Boolean,
@@ -37,7 +41,14 @@
 ) {
     private val fleet = Fleet(options)
     private val socket = DatagramSocket(context.loop, ::receive)
-    private var state = FleetState(context.options.name, Random.nextInt())
+    private var state = FleetState(
+        self = context.options.name,
+        incarnation = Random.nextInt(),
+        seeds = context.options.peers
+            .filter { it != context.options.peerAddress }
+            .map { PeerAddress(InstanceName(it.toString()), it.host, it.port, DataCentreName("")) }
+            .toImmutableList(),
+    )
     private var elsewhere: Map<String, Int> = emptyMap()
     private var liveNames: Set<InstanceName> = emptySet()
 
@@ -45,8 +56,8 @@
     var live: List<Peer> = emptyList()
         private set
 
-    /** Called with the kind's label, what a peer knows of it, and the peer, for each digest that arrives. */
-    var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
+    /** Called with the kind's code and what a peer knows of it, for each digest that arrives. */
+    var onDigest: (String, KindDigest) -> Unit = { _, _ -> }
 
     /** Called when a peer knows a newer configuration. */
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
@@ -78,6 +89,23 @@
     /** The requests that the other routers last said they have at an endpoint. */
     fun inFlightElsewhere(endpoint: EndpointName): Int = elsewhere[endpoint.text] ?: 0
 
+    /** A peer that knows newer objects of [kind] than this router, or any that knows some while this one knows none. */
+    fun knowingMore(kind: ObjectKind<*>): Address? = live.filter { peer ->
+        if (kind == ObjectKinds.CONFIGURATION) knowsNewerConfiguration(peer) else knowsMore(peer, kind)
+    }.randomOrNull()?.let { Address(it.address.host, it.address.port) }
+
+    private fun knowsMore(peer: Peer, kind: ObjectKind<*>): Boolean {
+        val known = peer.status?.digests?.get(kind.code) ?: return false
+        val own = view.digests()[kind.code]
+        return own == null || known.revision > own.revision && known.hash != own.hash
+    }
+
+    private fun knowsNewerConfiguration(peer: Peer): Boolean {
+        val known = peer.status?.configuration?.version ?: return false
+        val own = view.configuration?.value?.version
+        return own == null || known > own
+    }
+
     private fun status(): PeerStatus {
         val now = context.now()
         return PeerStatus(
@@ -93,14 +121,15 @@
         )
     }
 
-    private fun receive(bytes: ByteArray) {
+    private fun receive(bytes: ByteArray, sender: Address) {
+        context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
         val status = try {
             Json.decodeFromString<PeerStatus>(bytes.decodeToString())
         } catch (malformed: SerializationException) {
             context.log.record("peer_status_unreadable", "reason" to malformed.message)
             return
         }
-        step(FleetEvent.Heard(status))
+        step(FleetEvent.Heard(status, PeerAddress(status.from, sender.host, sender.port, status.dataCentre)))
     }
 
     private fun step(event: FleetEvent) {
@@ -113,10 +142,11 @@
         when (action) {
             is FleetAction.Send -> {
                 val bytes = Json.encodeToString(action.status).encodeToByteArray()
+                context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
                 socket.send(Address(action.to.host, action.to.port), bytes)
             }
             is FleetAction.Confirm -> confirm(action)
-            is FleetAction.Differs -> state.peers[action.by]?.let { onDigest(action.label, action.digest, it.address) }
+            is FleetAction.Compare -> onDigest(action.kind, action.digest)
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
@@ -1,7 +1,7 @@
 package comfreypath.router.peers
 
 import com.github.michaelbull.result.fold
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.RouterRecord
@@ -12,7 +12,7 @@
 private const val RETRY_MILLISECONDS = 500L
 
 /** Registers this router in the store, where the others find it, and takes it out again. */
-class Registration(private val context: NodeContext, private val store: ObjectStore) {
+class Registration(private val context: RouterContext, private val store: ObjectStore) {
     private val name = context.options.name.text
     private val record = context.options.peerAddress.let { RouterRecord(it.host, it.port, context.options.dataCentre) }
 
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -12,6 +12,21 @@
 private fun notReady(detail: String) =
     Refusal(RefusalCode.NOT_READY, detail, Duration.ofMillis(NOT_READY_RETRY_MILLISECONDS))
 
+/** Refuses requests whose body can't be read; a caller without a valid key learns only that. */
+class FaultFilter(private val view: ClusterView, private val refuse: suspend (CallerExchange, Refusal) -> Unit) {
+    /** Hands requests on that have no fault. */
+    suspend fun filter(exchange: CallerExchange, next: Stage) {
+        val fault = exchange.request.fault
+        val keysChecked = view.configuration?.value?.teams != null
+        when {
+            fault == null -> next(exchange)
+            keysChecked && exchange.request.apiKey?.let { view.teams.find(it) } == null ->
+                refuse(exchange, Refusal(RefusalCode.UNKNOWN_KEY, "no team holds the key"))
+            else -> refuse(exchange, fault)
+        }
+    }
+}
+
 /** Finds the route of a request. A route is denied only while the configuration is known to be fresh. */
 class RouteFilter(
     private val view: ClusterView,
@@ -29,7 +44,7 @@
             return
         }
         if (route == null) {
-            refuse(exchange, Refusal(RefusalCode.UNKNOWN_ROUTE, "no route leads to ${exchange.request.path}"))
+            refuse(exchange, Refusal(RefusalCode.UNKNOWN_ROUTE, "no route leads to ${exchange.request.address.path}"))
             return
         }
         exchange.route = route
@@ -37,7 +52,7 @@
         next(exchange)
     }
 
-    private fun find(exchange: CallerExchange) = view.routes.find(exchange.request.host, exchange.request.path)
+    private fun find(exchange: CallerExchange) = exchange.request.address.let { view.routes.find(it.host, it.path) }
 }
 
 /**
--- a/router/src/main/kotlin/comfreypath/router/request/CallerDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerDialect.kt
@@ -1,7 +1,6 @@
 package comfreypath.router.request
 
 import com.github.michaelbull.result.Result
-import comfreypath.coordination.model.RequestId
 import comfreypath.transport.IncomingRequest
 import io.netty.handler.codec.http.HttpHeaders
 import java.time.Instant
@@ -11,8 +10,8 @@
     /** Reads a request; the error says what is wrong with it. */
     fun read(request: IncomingRequest, receivedAt: Instant): Result<CallerRequest, Refusal>
 
-    /** Writes a refusal. */
-    fun encode(refusal: Refusal, request: RequestId?): WholeAnswer
+    /** Writes a refusal of [request], which is null when it could not be read. */
+    fun encode(refusal: Refusal, request: CallerRequest?): WholeAnswer
 }
 
 /** An answer with its whole body. */
--- a/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
@@ -1,15 +1,15 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.model.TeamName
-import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.routing.Route
+import comfreypath.router.telemetry.TRACE_PARENT
 import comfreypath.transport.ResponseWriter
 import java.time.Instant
 
 /** A caller's request on its way through the filters, and where its answer goes. */
 class CallerExchange(val request: CallerRequest, val writer: ResponseWriter) {
-    /** The configuration by which the request is handled. */
-    lateinit var configuration: Configuration
+    /** The header that passes the request's trace on; null if there is none. */
+    var traceParent: String? = request.forwarded.get(TRACE_PARENT)
 
     /** The route that the request takes. */
     lateinit var route: Route
@@ -20,6 +20,9 @@
     /** The rank of the request among others; 0 is the most urgent. */
     var priority: Int = 0
 
+    /** What the caller was refused; null if it was not. */
+    var refusal: Refusal? = null
+
     /** When the caller or the operator's timeout ends the wait. */
     val deadline: Instant
         get() = request.receivedAt + (request.patience?.coerceAtMost(route.timeout) ?: route.timeout)
--- a/router/src/main/kotlin/comfreypath/router/request/CallerRequest.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerRequest.kt
@@ -11,16 +11,19 @@
  * A whole request of a caller, in the terms of the decisions.
  *
  * @property id the caller's identity for this attempt of its
- * @property uri the path with its query, as the caller sent it
+ * @property address by which the route is found
+ * @property uri the path with its query for the endpoint
  * @property forwarded the caller's headers that an endpoint may see
  * @property patience how long the caller waits for the whole answer; null if it does not say
  * @property apiKey identifies the caller's team; null if there is none
  * @property prompt what is asked of a model engine; null for plain services
  * @property resumeAfter the last event that the caller has of a stream that it resumes
+ * @property fault what is wrong with the request's body, to be told only to a caller whose key is valid
+ * @property idempotencyKey names the request across the caller's own retries; null if it must not be kept apart
  */
 class CallerRequest(
     val id: RequestId,
-    val host: String,
+    val address: RouteAddress,
     val method: HttpMethod,
     val uri: String,
     val forwarded: HttpHeaders,
@@ -30,7 +33,9 @@
     val prompt: Prompt?,
     val resumeAfter: Long?,
     val receivedAt: Instant,
-) {
-    /** The path without its query. */
-    val path: String get() = uri.substringBefore('?')
-}
+    val idempotencyKey: String? = null,
+    val fault: Refusal? = null,
+)
+
+/** The host and the path, without its query, by which a route is found. */
+data class RouteAddress(val host: String, val path: String)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -15,6 +15,9 @@
 
     /** Reads what the head of an endpoint's answer says. */
     fun read(status: Int, headers: HttpHeaders): EndpointHead
+
+    /** True when an event of a stream belongs to [request]; one that does not is dropped. */
+    fun owns(event: StreamEvent, request: CallerRequest): Boolean = true
 }
 
 /**
@@ -24,6 +27,7 @@
  * @property team the team that holds the caller's key; null on public routes
  * @property urgency the rank among an engine's requests, 0 being the most urgent; null leaves it to the engine
  * @property resumeAfter the last event that the caller has of the stream; null to start from the beginning
+ * @property traceParent passes the request's trace on; null if there is none
  * @property cacheSource an engine from which the endpoint is to fetch the cache of the prompt; null if from none
  */
 class SendPlan(
@@ -33,6 +37,7 @@
     val urgency: Int?,
     val resumeAfter: Long?,
     val cacheSource: Endpoint? = null,
+    val traceParent: String? = null,
 )
 
 /**
--- a/router/src/main/kotlin/comfreypath/router/request/Filter.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/Filter.kt
@@ -1,5 +1,8 @@
 package comfreypath.router.request
 
+/** Has an endpoint run a caller's request, if one can. */
+typealias Relay = suspend (CallerExchange) -> RelayResult
+
 /** Handles a caller's request to its end. */
 typealias Stage = suspend (CallerExchange) -> Unit
 
--- a/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
@@ -17,7 +17,7 @@
  */
 enum class RefusalCode(val status: Int, val text: String) {
     /** The request is not well-formed. */
-    BAD_REQUEST(400, "bad_request"),
+    BAD_INPUT(400, "bad_input"),
 
     /** The request needs a key and has none that a team holds. */
     UNKNOWN_KEY(401, "unknown_key"),
@@ -25,6 +25,18 @@
     /** No route leads from the request's host and path. */
     UNKNOWN_ROUTE(404, "unknown_route"),
 
+    /** The interface does not take the method. */
+    WRONG_METHOD(405, "wrong_method"),
+
+    /** The idempotency key was used before with another request. */
+    KEY_REUSED(422, "key_reused"),
+
+    /** The first request with the idempotency key may have run, and its answer is not known. */
+    OUTCOME_UNKNOWN(409, "outcome_unknown"),
+
+    /** The idempotency key can't be claimed now, so that the request is not run. */
+    CLAIMS_UNAVAILABLE(503, "claims_unavailable"),
+
     /** The router knows no configuration, or not surely the newest one. */
     NOT_READY(503, "not_ready"),
 
@@ -42,4 +54,8 @@
 
     /** The request was sent, and no answer came in time. */
     TIMED_OUT(504, "timed_out"),
+    ;
+
+    /** True when the request may have run. */
+    val mayHaveRun: Boolean get() = this == ANSWER_LOST || this == TIMED_OUT || this == OUTCOME_UNKNOWN
 }
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -1,8 +1,7 @@
 package comfreypath.router.request
 
 import com.github.michaelbull.result.fold
-import comfreypath.coordination.model.RequestId
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -10,7 +9,7 @@
 
 /** The path of a caller's request: reading it, the filters, and the relay to an endpoint. */
 class RequestPipeline(
-    private val context: NodeContext,
+    private val context: RouterContext,
     private val dialect: CallerDialect,
     private val stages: Stage,
 ) {
@@ -24,7 +23,7 @@
         context.metrics.inProgress.set(inProgress.toDouble())
         try {
             dialect.read(incoming, context.now()).fold(
-                success = { request -> stages(CallerExchange(request, writer)) },
+                success = { request -> traced(CallerExchange(request, writer)) },
                 failure = { refusal -> write(refusal, null, writer) },
             )
         } finally {
@@ -33,8 +32,20 @@
         }
     }
 
+    private suspend fun traced(exchange: CallerExchange) {
+        val span = context.tracing.start("caller", exchange.traceParent)
+        span.note("request", exchange.request.id.text)
+        exchange.traceParent = span.traceParent
+        try {
+            stages(exchange)
+        } finally {
+            span.end(succeeded = exchange.writer.started && exchange.refusal == null)
+        }
+    }
+
     /** Tells a caller that its request gets no answer of an endpoint. */
     suspend fun refuse(exchange: CallerExchange, refusal: Refusal) {
+        exchange.refusal = refusal
         val waited = Duration.between(exchange.request.receivedAt, context.now()).toMillis()
         context.log.record(
             "refused",
@@ -43,15 +54,15 @@
             "detail" to refusal.detail,
             "waitedMs" to waited,
         )
-        write(refusal, exchange.request.id, exchange.writer)
+        write(refusal, exchange.request, exchange.writer)
     }
 
-    private suspend fun write(refusal: Refusal, id: RequestId?, writer: ResponseWriter) {
+    private suspend fun write(refusal: Refusal, request: CallerRequest?, writer: ResponseWriter) {
         context.metrics.refused.labelValues(refusal.code.text).inc()
-        if (id == null) {
+        if (request == null) {
             context.log.record("refused", "code" to refusal.code.text, "detail" to refusal.detail)
         }
-        val answer = dialect.encode(refusal, id)
+        val answer = dialect.encode(refusal, request)
         writer.whole(HttpResponseStatus.valueOf(answer.status), answer.headers, answer.body)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/RelayStage.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestRelay.kt
@@ -7,7 +7,7 @@
 import comfreypath.coordination.verdict.CourseState
 import comfreypath.coordination.verdict.RequestCourse
 import comfreypath.coordination.verdict.UnknownReason
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.SendResult
 import comfreypath.router.sending.toUnknown
@@ -21,11 +21,15 @@
 
 private const val MOST_REFUSALS = 3
 private const val RETRY_MILLISECONDS = 300L
+private const val SILENCE_FACTOR = 3L
+
+/** A silence that even a busy endpoint does not reach, while callers of streams leave after two seconds. */
+private val LEAST_SILENCE: Duration = Duration.ofMillis(1_000)
 
 /** How the attempts of a request ended. */
 sealed interface RelayResult {
     /** The caller gets an endpoint's whole answer. */
-    class Answer(val answer: WholeAnswer, val endpoint: EndpointName) : RelayResult
+    class Answer(val answer: WholeAnswer, val endpoint: EndpointName?) : RelayResult
 
     /** The caller has got a stream, whole or cut off. */
     class Streamed(val complete: Boolean) : RelayResult
@@ -34,28 +38,26 @@
     class Refused(val refusal: Refusal) : RelayResult
 }
 
-/** Offers requests to endpoints until one has answered, and passes the answer on. */
-class RelayStage(
-    private val context: NodeContext,
+/**
+ * Offers requests to endpoints until one has answered.
+ *
+ * @property owns tells whether an event of a stream belongs to a request
+ */
+class RequestRelay(
+    private val context: RouterContext,
     private val selector: EndpointSelector,
     private val sender: EndpointSender,
-    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+    private val owns: (StreamEvent, CallerRequest) -> Boolean,
 ) {
     private val course = RequestCourse(MOST_REFUSALS)
 
-    /** Relays the request. */
-    suspend fun relay(exchange: CallerExchange) {
-        val result = if (exchange.route.repeatable || exchange.route.streaming) {
+    /** Relays the request; a stream is passed on at once, every other answer is returned. */
+    suspend fun relay(exchange: CallerExchange): RelayResult =
+        if (exchange.route.repeatable || exchange.route.streaming) {
             Attempts(exchange).run()
         } else {
             runToTheEnd(Attempts(exchange))
         }
-        when (result) {
-            is RelayResult.Answer -> deliver(exchange, result)
-            is RelayResult.Refused -> refuse(exchange, result.refusal)
-            is RelayResult.Streamed -> if (!result.complete) exchange.writer.abort()
-        }
-    }
 
     /** Lets an attempt that may not be repeated run to its end even when the caller leaves. */
     private suspend fun runToTheEnd(attempts: Attempts): RelayResult {
@@ -67,11 +69,6 @@
         }
     }
 
-    private suspend fun deliver(exchange: CallerExchange, result: RelayResult.Answer) {
-        val answer = result.answer
-        exchange.writer.whole(HttpResponseStatus.valueOf(answer.status), answer.headers, answer.body)
-    }
-
     /** The attempts of one request. */
     private inner class Attempts(private val exchange: CallerExchange) {
         private val request = exchange.request
@@ -140,9 +137,18 @@
             }
         }
 
+        /** True when the request may go on at another endpoint if this one falls silent. */
+        private fun mayMove(): Boolean =
+            exchange.route.repeatable && state.runs + 1 < exchange.route.maxAttempts
+
+        /** The silence after which an endpoint counts as stuck. */
+        private fun silenceLimit(): Duration =
+            maxOf(LEAST_SILENCE, exchange.route.latencyTarget.multipliedBy(SILENCE_FACTOR))
+
         private suspend fun attempt(selection: Selection): Attempt {
             val endpoint = selection.endpoint
             val deadline = state.deadline
+            val headDeadline = if (mayMove()) minOf(deadline, context.now() + silenceLimit()) else deadline
             val plan = SendPlan(
                 endpoint = endpoint,
                 timeLeft = Duration.between(context.now(), deadline),
@@ -150,8 +156,9 @@
                 urgency = null,
                 resumeAfter = stream?.lastEvent ?: request.resumeAfter,
                 cacheSource = selection.cacheSource,
+                traceParent = exchange.traceParent,
             )
-            return when (val sent = sender.send(request, plan, exchange.route.repeatable, deadline)) {
+            return when (val sent = sender.send(request, plan, exchange.route.repeatable, headDeadline)) {
                 is SendResult.Failed -> Attempt(sent.outcome)
                 is SendResult.Answering -> answered(endpoint, sent, deadline)
             }
@@ -174,14 +181,15 @@
         }
 
         private suspend fun passStream(sent: SendResult.Answering): Attempt {
-            val relay = stream ?: StreamRelay(exchange.writer, sent.head).also { stream = it }
-            return when (val end = relay.pass(sent.exchange)) {
+            val relay = stream ?: StreamRelay(exchange.writer, sent.head) { owns(it, request) }.also { stream = it }
+            return when (val end = relay.pass(sent.exchange, if (mayMove()) silenceLimit() else null)) {
                 is StreamEnd.Complete -> Attempt(
                     AttemptOutcome.Answered(sent.head.status),
                     RelayResult.Streamed(complete = true),
                     complete = true,
                 )
                 is StreamEnd.Broken -> Attempt(AttemptOutcome.Unknown(end.reason.toUnknown()))
+                is StreamEnd.Silent -> Attempt(AttemptOutcome.Unknown(UnknownReason.TIMED_OUT))
             }
         }
 
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -5,13 +5,18 @@
 import comfreypath.transport.ResponsePart
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
+import java.time.Duration
 
 /** How a part of a stream that one endpoint sent has ended. */
 sealed interface StreamEnd {
     /** The endpoint has sent the whole stream. */
     data object Complete : StreamEnd
 
+    /** The endpoint's stream stays open and brings nothing. */
+    data object Silent : StreamEnd
+
     /** The endpoint's stream broke off. */
     data class Broken(val reason: BreakReason) : StreamEnd
 }
@@ -21,8 +26,14 @@
  *
  * Only whole events are passed on, so that a stream that breaks in the middle of an event can go on from the last
  * whole one. The head is written with the first event: until then nothing binds the caller to this endpoint.
+ *
+ * @property owns tells whether an event belongs to the caller's request; others are dropped
  */
-class StreamRelay(private val writer: ResponseWriter, private val head: EndpointHead) {
+class StreamRelay(
+    private val writer: ResponseWriter,
+    private val head: EndpointHead,
+    private val owns: (StreamEvent) -> Boolean,
+) {
     /** The last event that was passed on; null before the first. */
     var lastEvent: Long? = null
         private set
@@ -31,11 +42,17 @@
     var started = false
         private set
 
-    /** Passes on what [exchange] brings until its end. */
-    suspend fun pass(exchange: EndpointExchange): StreamEnd {
+    /** Passes on what [exchange] brings until its end, or until it brings nothing for [silence]. */
+    suspend fun pass(exchange: EndpointExchange, silence: Duration?): StreamEnd {
         val splitter = EventSplitter()
         while (true) {
-            when (val part = exchange.next()) {
+            val part = if (silence == null) {
+                exchange.next()
+            } else {
+                withTimeoutOrNull(silence.toMillis()) { exchange.next() }
+            }
+            when (part) {
+                null -> return StreamEnd.Silent
                 is ResponsePart.Bytes -> write(splitter.feed(part.bytes))
                 is ResponsePart.Head -> return StreamEnd.Broken(BreakReason.MALFORMED)
                 is ResponsePart.Broken -> return StreamEnd.Broken(part.reason)
@@ -53,7 +70,7 @@
         events.forEach { event ->
             val last = lastEvent
             val repeated = event.id != null && last != null && event.id <= last
-            if (!repeated) {
+            if (!repeated && owns(event)) {
                 bytes.writeBytes(event.bytes)
                 lastEvent = event.id ?: last
             }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -3,11 +3,12 @@
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.UnknownReason
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.request.CallerRequest
 import comfreypath.router.request.EndpointDialect
 import comfreypath.router.request.EndpointHead
 import comfreypath.router.request.SendPlan
+import comfreypath.router.telemetry.TRACE_PARENT
 import comfreypath.transport.Address
 import comfreypath.transport.BreakReason
 import comfreypath.transport.ConnectionPool
@@ -32,7 +33,7 @@
 
 /** Sends requests to endpoints and waits for the heads of their answers. */
 class EndpointSender(
-    private val context: NodeContext,
+    private val context: RouterContext,
     private val pool: ConnectionPool,
     private val dialect: EndpointDialect,
     private val ledger: EndpointLedger,
@@ -56,8 +57,12 @@
         deadline: Instant,
     ): SendResult {
         val exchange = EndpointExchange(pool, connection, ledger.entry(plan.endpoint.name))
-        if (!connection.send(dialect.encode(request, plan), request.body)) {
+        val span = context.tracing.start("endpoint", plan.traceParent)
+        val head = dialect.encode(request, plan)
+        span.traceParent?.let { head.headers.set(TRACE_PARENT, it) }
+        if (!connection.send(head, request.body)) {
             exchange.close()
+            span.end(succeeded = false)
             return SendResult.Failed(AttemptOutcome.NotSent("the connection had closed"))
         }
         var answered = false
@@ -68,6 +73,7 @@
             answered = result is SendResult.Answering
             return result
         } finally {
+            span.end(succeeded = answered)
             if (!answered) {
                 exchange.close()
             }
--- a/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
@@ -7,8 +7,9 @@
  * A kind of object in the platform's store.
  *
  * @property label the kind's name in logs and metrics
+ * @property code the kind's name in the statuses that routers send each other
  */
-class ObjectKind<T : Any>(val label: String) {
+class ObjectKind<T : Any>(val label: String, val code: String) {
     override fun toString(): String = label
 }
 
@@ -17,8 +18,14 @@
  *
  * @property revision the store's revision of the object's last change
  * @property value what it holds, or why that can't be read
+ * @property document the object as the store wrote it, to be passed on to other routers
  */
-class StoredObject<T : Any>(val name: String, val revision: Long, val value: Result<T, String>)
+class StoredObject<T : Any>(
+    val name: String,
+    val revision: Long,
+    val value: Result<T, String>,
+    val document: String,
+)
 
 /**
  * One page of a list.
@@ -64,6 +71,9 @@
         expected: Long,
     ): Result<StoredObject<T>, StoreError>
 
+    /** Reads an object that another router passed on; null when it can't be read at all. */
+    fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>?
+
     /** Removes an object, whatever its revision. */
     suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError>
 }
--- a/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
@@ -10,7 +10,8 @@
 import comfreypath.coordination.routing.Rollout
 import comfreypath.coordination.routing.RouteTable
 import comfreypath.coordination.routing.TeamDirectory
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
+import comfreypath.router.peers.KindCopy
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.RouterRecord
 import java.time.Instant
@@ -19,7 +20,7 @@
  * What this router knows of the deployment: everything that the platform's store said, with the time at which it was
  * last known to hold. The configuration in force only moves forward.
  */
-class ClusterView(private val context: NodeContext) {
+class ClusterView(private val context: RouterContext) {
     /** The endpoints, by name. */
     val endpoints = KindView<Endpoint>(context, "endpoint")
 
@@ -44,12 +45,16 @@
     var teams = TeamDirectory(emptyList())
         private set
 
+    private var configurationDocument = ""
     private var byService: Map<ServiceName, List<Endpoint>> = emptyMap()
     private var byServiceFor: Map<String, Endpoint>? = null
 
     /** Takes a configuration as the store had it at [revision], no earlier than [confirmedAt]. */
-    fun takeConfiguration(candidate: Configuration, revision: Long, confirmedAt: Instant) {
+    fun takeConfiguration(candidate: Configuration, revision: Long, confirmedAt: Instant, document: String) {
         val current = configuration
+        if (current == null || candidate.version > current.value.version) {
+            configurationDocument = document
+        }
         when {
             current == null || candidate.version > current.value.version -> {
                 configuration = Fact(candidate, revision, confirmedAt)
@@ -69,6 +74,11 @@
         }
     }
 
+    /** What this router can pass on of the configuration; null while it knows none. */
+    fun configurationCopy(): KindCopy? = configuration?.let {
+        KindCopy(it.revision, it.age(context.now()).toMillis() + 1, listOf(configurationDocument))
+    }
+
     /** Takes in that the configuration in force was still the newest at [confirmedAt]. */
     fun confirmConfiguration(confirmedAt: Instant) {
         configuration?.let { if (confirmedAt > it.confirmedAt) configuration = it.copy(confirmedAt = confirmedAt) }
@@ -83,13 +93,13 @@
         return byService[service].orEmpty()
     }
 
-    /** What this router knows of each followed kind, by the kind's label. */
+    /** What this router knows of each followed kind, by the kind's code. */
     fun digests(): Map<String, KindDigest> = listOf(
         ObjectKinds.ENDPOINTS to endpoints,
         ObjectKinds.ROLLOUTS to rollouts,
         ObjectKinds.EVACUATIONS to evacuations,
         ObjectKinds.ROUTERS to routers,
-    ).mapNotNull { (kind, known) -> known.digest?.let { kind.label to it } }.toMap()
+    ).mapNotNull { (kind, known) -> known.digest?.let { kind.code to it } }.toMap()
 
     /** The endpoint called [name], or null. */
     fun endpoint(name: EndpointName): Endpoint? = endpoints.values[name.text]
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -1,7 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import kotlinx.coroutines.CompletableDeferred
@@ -21,7 +21,7 @@
  * other, so that mostly one read serves all; each waits for a proof a random time longer than the others.
  */
 class ConfigurationProbe(
-    private val context: NodeContext,
+    private val context: RouterContext,
     private val store: ObjectStore,
     private val view: ClusterView,
     private val sink: ConfigurationSink,
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -2,16 +2,18 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.fleet.KindDigest
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
+import comfreypath.router.peers.KindCopy
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.StoredObject
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
+import java.time.Duration
 import java.time.Instant
 
 /** The objects of one kind as the store last had them. */
-class KindView<T : Any>(private val context: NodeContext, private val label: String) : StoreSink<T> {
+class KindView<T : Any>(private val context: RouterContext, private val label: String) : StoreSink<T> {
     /** The objects that can be read, by name. */
     var values: PersistentMap<String, T> = persistentMapOf()
         private set
@@ -25,6 +27,7 @@
         private set
 
     private val revisions = HashMap<String, Long>()
+    private val documents = HashMap<String, String>()
     private val listeners = mutableListOf<() -> Unit>()
 
     /** What this router knows, in short; null before the first list. */
@@ -38,7 +41,8 @@
     override fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant) {
         val readable = HashMap<String, T>()
         revisions.clear()
-        objects.forEach { revisions[it.name] = it.revision }
+        documents.clear()
+        objects.forEach { note(it) }
         objects.forEach { stored -> readable(stored)?.let { readable[stored.name] = it } }
         val before = values
         values = readable.toPersistentMap()
@@ -55,7 +59,7 @@
             val value = if (change.removed) null else readable(change.changed)
             val name = change.changed.name
             values = if (value == null) values.remove(name) else values.put(name, value)
-            if (change.removed) revisions.remove(name) else revisions[name] = change.changed.revision
+            if (change.removed) forget(name) else note(change.changed)
             context.log.record(
                 if (value == null) "${label}_removed" else "${label}_changed",
                 label to name,
@@ -70,6 +74,21 @@
         }
     }
 
+    private fun note(stored: StoredObject<T>) {
+        revisions[stored.name] = stored.revision
+        documents[stored.name] = stored.document
+    }
+
+    private fun forget(name: String) {
+        revisions.remove(name)
+        documents.remove(name)
+    }
+
+    /** What this router can pass on; null before the first list. */
+    fun copy(): KindCopy? = confirmedAt?.let {
+        KindCopy(revision, Duration.between(it, context.now()).toMillis() + 1, documents.values.toList())
+    }
+
     private fun readable(stored: StoredObject<T>): T? = stored.value.fold(
         success = { it },
         failure = { reason ->
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -2,7 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.fleet.KindDigest
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
@@ -30,13 +30,15 @@
  * connection has silently lost its other end is found out by what peers know, see [compare].
  *
  * @property wait how long a watch may stay open without a change
+ * @property askPeers asks other routers while the store does not answer
  */
 class StoreFollower<T : Any>(
-    private val context: NodeContext,
+    private val context: RouterContext,
     private val store: ObjectStore,
     private val kind: ObjectKind<T>,
     private val sink: StoreSink<T>,
     private val wait: () -> Duration,
+    private val askPeers: suspend () -> Unit,
 ) {
     private val random: UniformRandomProvider =
         RandomSource.SPLIT_MIX_64.create((context.options.name.text + kind.label).hashCode().toLong())
@@ -53,6 +55,9 @@
         context.scope.launch {
             while (true) {
                 list()?.let { revision -> watch(revision) }
+                if (lost) {
+                    askPeers()
+                }
                 delay(pauseMilliseconds())
             }
         }
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -2,7 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.routing.Configuration
-import comfreypath.router.node.NodeContext
+import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.StoredObject
@@ -18,7 +18,7 @@
 }
 
 /** Puts configurations in force. */
-class ConfigurationSink(private val context: NodeContext, private val view: ClusterView) : StoreSink<Configuration> {
+class ConfigurationSink(private val context: RouterContext, private val view: ClusterView) : StoreSink<Configuration> {
     override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) =
         objects.forEach { take(it, confirmedAt) }
 
@@ -35,7 +35,7 @@
             return
         }
         stored.value.fold(
-            success = { view.takeConfiguration(it, stored.revision, confirmedAt) },
+            success = { view.takeConfiguration(it, stored.revision, confirmedAt, stored.document) },
             failure = {
                 context.log.record("configuration_unreadable", "reason" to it, "revision" to stored.revision)
             },
--- a/stand-ins/src/main/kotlin/comfreypath/standins/EngineAnswer.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/EngineAnswer.kt
@@ -1,11 +1,11 @@
 package comfreypath.standins
 
-import comfreypath.protocols.ChatCompletionChunk
-import comfreypath.protocols.ChatCompletionRequest
-import comfreypath.protocols.ChunkChoice
-import comfreypath.protocols.ChunkDelta
-import comfreypath.protocols.PromptDetails
-import comfreypath.protocols.Usage
+import comfreypath.openai.ChatCompletionChunk
+import comfreypath.openai.ChatCompletionRequest
+import comfreypath.openai.ChunkChoice
+import comfreypath.openai.ChunkDelta
+import comfreypath.openai.PromptDetails
+import comfreypath.openai.Usage
 
 private const val CHARACTERS_PER_TOKEN = 4
 private const val HEXADECIMAL = 16
--- a/stand-ins/src/main/kotlin/comfreypath/standins/EngineBatch.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/EngineBatch.kt
@@ -1,6 +1,6 @@
 package comfreypath.standins
 
-import comfreypath.protocols.ChatCompletionRequest
+import comfreypath.openai.ChatCompletionRequest
 import comfreypath.transport.dispatcher
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineScope
@@ -29,7 +29,7 @@
     /** The completions that are still known, by the identity of their request. */
     val generations: Map<String, Generation> get() = known
 
-    val cacheLog = CacheLog(options.cacheTokens)
+    private val cache = PrefixCache(options.cacheTokens)
     var faults = EngineFaults()
         private set
     var counts = EngineCounts()
@@ -42,7 +42,7 @@
     fun set(wanted: EngineFaults) {
         if (wanted.restart) {
             startedAt = clock.instant()
-            cacheLog.clear()
+            cache.clear()
         }
         faults = wanted
     }
@@ -102,7 +102,7 @@
     private suspend fun generate(generation: Generation, request: ChatCompletionRequest) {
         val chat = request.promptCacheKey ?: generation.id
         val promptTokens = EngineAnswer.promptTokens(request)
-        val cached = cacheLog.cachedTokens(chat, promptTokens)
+        val cached = cache.cachedTokens(chat, promptTokens)
         pause(options.prefillTime.multipliedBy((promptTokens - cached).toLong()))
         var unreadSince: Instant? = null
         for (number in 0 until request.maximumTokens) {
@@ -114,7 +114,7 @@
                 return
             }
         }
-        cacheLog.keep(chat, promptTokens + request.maximumTokens)
+        cache.keep(chat, promptTokens + request.maximumTokens)
         counts = counts.copy(
             completed = counts.completed + 1,
             promptTokens = counts.promptTokens + promptTokens,
--- a/stand-ins/src/main/kotlin/comfreypath/standins/Generation.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/Generation.kt
@@ -1,6 +1,6 @@
 package comfreypath.standins
 
-import comfreypath.protocols.ChatCompletionChunk
+import comfreypath.openai.ChatCompletionChunk
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 
--- a/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
@@ -11,7 +11,7 @@
 import java.io.IOException
 
 /** Sends and receives UDP datagrams on one event loop. */
-class DatagramSocket(private val loop: EventLoop, private val receive: (ByteArray) -> Unit) {
+class DatagramSocket(private val loop: EventLoop, private val receive: (ByteArray, Address) -> Unit) {
     private var channel: Channel? = null
 
     /** Binds to [address]; throws [IOException] if it is taken. */
@@ -41,7 +41,7 @@
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
-            receive(bytes)
+            receive(bytes, Address(packet.sender().address.hostAddress, packet.sender().port))
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
@@ -9,48 +9,58 @@
 
 /** A response whose status has arrived and whose body is read piece by piece. */
 class HttpExchange internal constructor(
-    val status: Int,
-    val headers: HttpHeaders,
-    private val connection: ClientConnection,
-    private val received: ResponseBody,
+    head: ResponsePart.Head,
+    private val connection: HttpConnection,
     private val request: OutgoingRequest,
+    private val end: (connection: HttpConnection, whole: Boolean) -> Unit,
 ) {
     private var ended = false
+    private var timedOut = false
 
-    /** Waits for the next piece of the body, at most the request's piece timeout. */
-    suspend fun next(): BodyPiece {
-        val piece = withTimeoutOrNull(request.pieceTimeout.toMillis()) { received.next() }
-        if (piece == null) {
-            abandon()
-            return BodyPiece.Broken(ExchangeFailure.TimedOut(sent = true))
+    /** The status code. */
+    val status: Int = head.status
+
+    /** The headers. */
+    val headers: HttpHeaders = head.headers
+
+    /** Waits for the next part of the body, at most the request's piece timeout; gives the connection back at the end. */
+    suspend fun next(): ResponsePart {
+        var part: ResponsePart? = null
+        try {
+            part = withTimeoutOrNull(request.pieceTimeout.toMillis()) { connection.next() }
+        } finally {
+            if (part == null) abandon()
         }
-        ended = ended || piece is BodyPiece.End
-        return piece
+        timedOut = part == null
+        when (part) {
+            ResponsePart.End -> finish(whole = true)
+            is ResponsePart.Broken, is ResponsePart.Head -> abandon()
+            is ResponsePart.Bytes, null -> Unit
+        }
+        return part ?: ResponsePart.Broken(BreakReason.CLOSED)
     }
 
     /** Reads the whole body. */
     suspend fun body(): Result<ByteArray, ExchangeFailure> {
         val whole = ByteArrayOutputStream()
         while (true) {
-            when (val piece = next()) {
-                is BodyPiece.Bytes -> whole.writeBytes(piece.bytes)
-                is BodyPiece.End -> return Ok(whole.toByteArray())
-                is BodyPiece.Broken -> return Err(piece.failure)
+            when (val part = next()) {
+                is ResponsePart.Bytes -> whole.writeBytes(part.bytes)
+                ResponsePart.End -> return Ok(whole.toByteArray())
+                is ResponsePart.Broken, is ResponsePart.Head -> return Err(
+                    if (timedOut) ExchangeFailure.TimedOut(sent = true) else ExchangeFailure.ConnectionLost(sent = true),
+                )
             }
         }
     }
 
-    /** Reads on to the end of a body of which nothing but the end is expected, so that the connection is kept. */
-    suspend fun finish() {
-        if (!ended) {
-            next()
-        }
-    }
+    /** Closes the connection, unless the body has been read whole. */
+    fun abandon() = finish(whole = false)
 
-    /** Closes the connection, unless the body has arrived whole. */
-    fun abandon() {
-        if (!received.arrived) {
-            connection.close()
+    private fun finish(whole: Boolean) {
+        if (!ended) {
+            ended = true
+            end(connection, whole)
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServerOptions.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServerOptions.kt
@@ -14,8 +14,9 @@
  * @property headerBytes the most bytes of a request's header lines together
  * @property bodyBytes the most bytes of a request's body
  * @property connections the most connections open at once; further ones are closed
- * @property receiveTimeout the longest time from a request's first byte to the end of its headers
- * @property idleTimeout the longest time a connection stays open without a request, and between two pieces of a body
+ * @property receiveTimeout the longest time from a request's first byte to the end of its headers, and the longest
+ * pause between two pieces of its body
+ * @property idleTimeout the longest time a connection stays open without a request
  * @property rejectionBody gives the response body for a request that was rejected before it reached the handler
  */
 data class HttpServerOptions(
--- a/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
@@ -34,8 +34,8 @@
         super.channelRead(context, message)
     }
 
-    /** A piece of a body arrived; the next one has the idle timeout. */
-    fun bodyArrives(context: ChannelHandlerContext) = arm(context, options.idleTimeout, ReceiveTimeout.REQUEST)
+    /** A piece of a request arrived; the next one has the receive timeout. */
+    fun bodyArrives(context: ChannelHandlerContext) = arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
 
     /** A whole request arrived; nothing is timed until it is answered. */
     fun requestArrived() {
--- a/protocols/src/main/kotlin/comfreypath/protocols/WireJson.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/WireJson.kt
@@ -1,4 +1,4 @@
-package comfreypath.protocols
+package comfreypath.transport
 
 import kotlinx.serialization.json.Json
 
