Start routers from an archive of classes, and listen before anything else

Cause: after a power loss a router took 0.7 s to reach its own code and another 0.5 s to listen, and the windows around it served nothing. Change: the build runs a small fleet once (warm-up) and archives the classes that it loads; callers are listened to first, metrics last.

--- a/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
@@ -4,6 +4,7 @@
 import comfreypath.daemon.command.MeasureCommand
 import comfreypath.daemon.command.RouterCommand
 import comfreypath.daemon.command.StandInCommand
+import comfreypath.daemon.command.WarmUpCommand
 import kotlin.system.exitProcess
 
 /** The exit status of a command that was called wrongly. */
@@ -16,6 +17,7 @@
       router     runs one router
       measure    measures what routers cost, or how decisions fare in randomised runs
       stand-in   runs a stand-in: object-store, engine or service
+      warm-up    loads what a router needs, for the archive of classes that the build makes
 
     comfreypath COMMAND --help tells more.
 """.trimIndent()
@@ -28,6 +30,7 @@
         "router" -> RouterCommand().run(rest, System.getenv())
         "measure" -> MeasureCommand().run(rest)
         "stand-in" -> StandInCommand().run(rest)
+        "warm-up" -> WarmUpCommand().run()
         "--help", "help" -> {
             println(usage)
             0
--- /dev/null
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/WarmUpCommand.kt
@@ -0,0 +1,58 @@
+package comfreypath.daemon.command
+
+import com.github.michaelbull.result.fold
+import comfreypath.daemon.demo.PlatformCaller
+import comfreypath.daemon.demo.PlatformFleet
+import comfreypath.daemon.settings.GivenSettings
+import comfreypath.daemon.settings.RouterSettings
+import comfreypath.standins.PlatformServerFaults
+import comfreypath.transport.dispatcher
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+
+private const val ROUNDS = 20
+private const val CUT_AFTER = 3
+
+/**
+ * Sends requests of every kind through a small fleet within this process.
+ *
+ * The build runs it once to record which classes a router loads; with the archive of these classes a router starts
+ * several times faster.
+ */
+class WarmUpCommand {
+    /** Runs to the end, and returns the exit status. */
+    fun run(): Int = runBlocking {
+        GivenSettings.read(RouterSettings.all, emptyList(), emptyMap()).fold(
+            success = { RouterSettings.options(it) },
+            failure = { error(it) },
+        )
+        val fleet = PlatformFleet(routerCount = 2)
+        fleet.start()
+        val caller = PlatformCaller(fleet.callerLoop)
+        repeat(ROUNDS) { round ->
+            val faulty = round == ROUNDS - 2
+            fleet.engines.forEach { engine ->
+                val faults = PlatformServerFaults(cutAfterEvents = CUT_AFTER.takeIf { faulty })
+                withContext(engine.loop.dispatcher()) { engine.server.set(faults) }
+            }
+            fleet.routers.forEach { router -> callAll(caller, router, round) }
+        }
+        fleet.stopRouter(fleet.routers.last())
+        fleet.stop()
+        0
+    }
+
+    private suspend fun callAll(caller: PlatformCaller, router: PlatformFleet.RunningRouter, round: Int) {
+        val address = router.options.callerAddress
+        val id = "${router.options.name}-$round"
+        caller.call(address, "draft", "$id-draft", tokens = "1612,40")
+        caller.call(address, "follow", "$id-follow", tokens = "1612,80")
+        caller.call(address, "book", "$id-book", body = "booking".encodeToByteArray())
+        caller.call(address, "history", "$id-history")
+        caller.call(address, "open", "$id-open", key = null)
+        caller.call(address, "history", "$id-unknown-key", key = "nobody's")
+        caller.call(address, "nowhere", "$id-unknown-route")
+        caller.call(router.options.metricsAddress, "metrics", "$id-metrics")
+        caller.call(router.options.readinessAddress, "ready", "$id-ready")
+    }
+}
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalPlatform.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/LocalPlatform.kt
@@ -30,6 +30,21 @@
     suspend fun register(endpoint: Endpoint) =
         create(PlatformDocuments.ENDPOINT_KIND, endpoint.name.text, PlatformDocuments.encode(endpoint, beats = 1))
 
+    /** Lets a registered server say something else of itself. */
+    suspend fun reregister(endpoint: Endpoint) {
+        val path = "${PlatformDocuments.ENDPOINT_KIND}/${endpoint.name.text}"
+        val document = buildJsonObject {
+            put(StoreWire.METADATA, buildJsonObject { put(StoreWire.NAME, JsonPrimitive(endpoint.name.text)) })
+            put(StoreWire.SPEC, PlatformDocuments.encode(endpoint, beats = 2))
+        }
+        call(HttpMethod.PUT, path, document.toString())
+    }
+
+    /** Takes a server's entry out. */
+    suspend fun deregister(endpoint: Endpoint) {
+        call(HttpMethod.DELETE, "${PlatformDocuments.ENDPOINT_KIND}/${endpoint.name.text}", "")
+    }
+
     suspend fun createConfiguration(configuration: Configuration) = create(
         PlatformDocuments.CONFIGURATION_KIND,
         ObjectKinds.CONFIGURATION_NAME,
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -89,7 +89,7 @@
     private val ledger = EndpointLedger(clock)
     private val selector = EndpointSelector(view, ledger, options.dataCentre) { peers.inFlightElsewhere(it) }
     private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
-    private val peers = PeerLink(context, view, ledger, ::ready)
+    private val peers = PeerLink(context, view, ledger, { ready })
     private val copies = PeerCopies(
         context,
         store,
@@ -147,28 +147,35 @@
 
     private suspend fun refuse(exchange: CallerExchange, refusal: Refusal) = requests.refuse(exchange, refusal)
 
-    /** Listens and starts to follow the store. */
+    /** Listens and starts to follow the store; what no request needs comes last. */
     suspend fun start() {
         val options = context.options
         log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
+        probe.start()
+        followers.getValue(ObjectKinds.ENDPOINTS.code).start()
+        callers.start(options.callerAddress)
+        readiness.start(options.readinessAddress)
+        startPeers()
+        configurationFollower.start()
+        followers.filterKeys { it != ObjectKinds.ENDPOINTS.code }.values.forEach { it.start() }
+        registration.start()
+        claims.start()
+        metrics.start(options.metricsAddress)
+        context.scope.launch { sweep() }
+        log.record("started")
+    }
+
+    private suspend fun startPeers() {
         peers.onDigest = { code, digest -> followers[code]?.let { it.compare(view.digests()[code], digest) } }
         peers.onNewerConfiguration = { peer ->
             context.scope.launch {
-                if (!probe.probe()) copies.fetch(Address(peer.host, peer.port), ObjectKinds.CONFIGURATION, configurationSink)
+                if (!probe.probe()) {
+                    copies.fetch(Address(peer.host, peer.port), ObjectKinds.CONFIGURATION, configurationSink)
+                }
             }
         }
         peers.start()
         copies.start()
-        configurationFollower.start()
-        followers.values.forEach { it.start() }
-        probe.start()
-        registration.start()
-        claims.start()
-        callers.start(options.callerAddress)
-        readiness.start(options.readinessAddress)
-        metrics.start(options.metricsAddress)
-        context.scope.launch { sweep() }
-        log.record("started")
     }
 
     private suspend fun sweep() {
@@ -238,10 +245,11 @@
         }
     }
 
-    private fun ready(): Boolean = !stopping && view.configuration != null && view.endpoints.confirmedAt != null
+    /** True while callers may be sent to this router. */
+    val ready: Boolean get() = !stopping && view.configuration != null && view.endpoints.confirmedAt != null
 
     private suspend fun tellReadiness(request: IncomingRequest, writer: ResponseWriter) {
-        val status = if (ready()) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+        val status = if (ready) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
         writer.whole(status, mapOf("content-type" to "text/plain"), "${request.path}\n".encodeToByteArray())
     }
 
