Take a success without the server's signature for no answer

Change: the dialect says whether a head is genuine; one that is not counts as an answer that was lost. Test: PlatformPathTest, a success without the server's signature is no answer.

--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
@@ -74,6 +74,16 @@
         expectThat(answers).all { isEqualTo(200) }
     }
 
+    @Test
+    fun `a success without the server's signature is no answer`() = PlatformFixture().run {
+        setPlainServers(PlatformServerFaults(unsigned = true))
+        setEngines(PlatformServerFaults(unsigned = true))
+        expectThat(call(PlatformRequest("book", "b1", body = ByteArray(1)))?.status).isEqualTo(502)
+        expectThat(call(PlatformRequest("draft", "s1", tokens))?.status).isEqualTo(502)
+        set(fleet.plainServers.take(1), PlatformServerFaults())
+        expectThat((1..4).map { call(PlatformRequest("history", "h$it"))?.status }).all { isEqualTo(200) }
+    }
+
     @Test
     fun `a refusal of every server is told as not run, with a time to come back`() = PlatformFixture().run {
         setPlainServers(PlatformServerFaults(refuse = true))
@@ -88,7 +98,9 @@
         set(fleet.engines, PlatformServerFaults(cutAfterEvents = 6, halfEvent = true))
         expectThat(call(PlatformRequest("follow", "s1", tokens))).isNotNull()
             .get { text() }.isEqualTo(wholeStream("s1", tokens))
-        expectThat(seen("s1").map { it.request.headers.get(PlatformHeaders.LAST_EVENT) }).containsExactlyInAnyOrder(null, "6")
+        expectThat(
+            seen("s1").map { it.request.headers.get(PlatformHeaders.LAST_EVENT) }
+        ).containsExactlyInAnyOrder(null, "6")
     }
 
     @Test
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
@@ -31,6 +31,7 @@
 
     override fun read(status: Int, headers: HttpHeaders): EndpointHead = EndpointHead(
         status = status,
+        genuine = true,
         request = headers.get(OpenAiHeaders.REQUEST_ID)?.let { RequestId(it) },
         notRun = status == MISDIRECTED || headers.contains(OpenAiHeaders.NOT_RUN),
         wrongEndpoint = status == MISDIRECTED,
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -136,10 +136,16 @@
         )
         return when (val sent = parts.sender.send(request, plan, route.repeatable, headDeadline)) {
             is SendResult.Failed -> Attempt(sent.outcome)
-            is SendResult.Answering -> answered(selection, sent)
+            is SendResult.Answering -> if (sent.head.genuine) answered(selection, sent) else forged(sent)
         }
     }
 
+    /** A broken server may send bytes that look like a success. */
+    private fun forged(sent: SendResult.Answering): Attempt {
+        sent.exchange.close()
+        return Attempt(AttemptOutcome.Unknown(UnknownReason.MALFORMED))
+    }
+
     private suspend fun answered(selection: Selection, sent: SendResult.Answering): Attempt {
         val streams = route.streaming && sent.head.status == HttpResponseStatus.OK.code()
         var complete = false
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -43,6 +43,7 @@
 /**
  * What the head of an answer says.
  *
+ * @property genuine false when it claims a success without the proof that the endpoint gives with one
  * @property request whose answer it is; null if it does not say
  * @property notRun true when the endpoint has not run the request and never will
  * @property wrongEndpoint true when another endpoint than the one named has the address
@@ -53,6 +54,7 @@
  */
 data class EndpointHead(
     val status: Int,
+    val genuine: Boolean,
     val request: RequestId?,
     val notRun: Boolean,
     val wrongEndpoint: Boolean,
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -24,6 +24,7 @@
  * @property silent runs requests and answers nothing
  * @property cutAfterEvents breaks each stream off after so many events; null for never
  * @property cutAnswers runs whole requests and closes the connection without an answer
+ * @property unsigned leaves out the signature of answers
  * @property halfEvent breaks streams off in the middle of the next event
  */
 data class PlatformServerFaults(
@@ -33,6 +34,7 @@
     val cutAfterEvents: Int? = null,
     val cutAnswers: Boolean = false,
     val halfEvent: Boolean = false,
+    val unsigned: Boolean = false,
 )
 
 /** A request as a server stand-in saw it. */
@@ -97,10 +99,9 @@
             }
             val headers = mapOf(
                 PlatformHeaders.REQUEST_ID to id,
-                PlatformHeaders.SIGNATURE to signature(id),
                 PlatformHeaders.LOAD to "$inFlight,0,64",
                 "Keep-Alive" to "timeout=5",
-            )
+            ) + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
             when {
                 faults.failing -> writer.whole(
                     HttpResponseStatus.INTERNAL_SERVER_ERROR,
