Date what is known by proofs that survive suspensions, and keep lapsed entries for two seconds

Cause: the steady clock does not count a suspension, so that a key could have been used after its bound; the time of a new configuration was dated by the watch that brought it; entries that lapse with the store away left a service without endpoints until its servers were back. Change: SuspensionDetector, RemovalPolicy, ConfigurationView and EndpointView; refusals are logged with the version and age of the configuration. Tests: StoreTroubleTest (outages, silent watches, lost history and answers, a router that only its peers can reach).

--- /dev/null
+++ b/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
@@ -0,0 +1,71 @@
+package comfreypath.coordination.routing
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.model.VersionName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import java.time.Instant
+
+class RemovalPolicyTest {
+    private val now = Instant.ofEpochSecond(1_000)
+
+    private fun endpoint(number: Int, draining: Boolean = false) = Endpoint(
+        name = EndpointName("e$number"),
+        service = ServiceName("s"),
+        host = "10.0.0.$number",
+        port = 80,
+        dataCentre = DataCentreName("dc"),
+        version = VersionName("v1"),
+        slots = 6,
+        draining = draining,
+        coldMilliseconds = 0,
+        startedAt = null,
+    )
+
+    private fun entries(vararg numbers: Int) = numbers.associate { EndpointName("e$it") to endpoint(it) }
+
+    private fun change(
+        before: Map<EndpointName, Endpoint>,
+        after: Map<EndpointName, Endpoint>,
+        regainedAt: Instant? = null,
+        state: RemovalGrace = RemovalGrace(),
+    ) = RemovalPolicy.changed(state, before, after, regainedAt, now)
+
+    private val all = entries(1, 2, 3, 4, 5, 6, 7, 8)
+
+    @Test
+    fun `a single entry that goes in calm times is gone`() {
+        expectThat(change(all, all - EndpointName("e1")).usable(now)).isEmpty()
+    }
+
+    @Test
+    fun `entries that lapsed in an outage are used until about two seconds after it`() {
+        val regained = now.minusMillis(500)
+        val grace = change(all, all - EndpointName("e1"), regained)
+        expectThat(grace.usable(now).map { it.name.text }).containsExactly("e1")
+        expectThat(grace.usable(regained.plusMillis(2_200))).isEmpty()
+    }
+
+    @Test
+    fun `many entries that vanish at once are taken for lapsed although no outage was noticed`() {
+        expectThat(change(all, entries(5, 6, 7, 8)).usable(now).size).isEqualTo(4)
+    }
+
+    @Test
+    fun `an endpoint that was draining is gone whatever happened`() {
+        val before = all + (EndpointName("e1") to endpoint(1, draining = true))
+        expectThat(change(before, all - EndpointName("e1"), now).usable(now)).isEmpty()
+    }
+
+    @Test
+    fun `an entry that is back needs no grace`() {
+        val grace = change(all, entries(5, 6, 7, 8))
+        val back = RemovalPolicy.changed(grace, entries(5, 6, 7, 8), entries(1, 5, 6, 7, 8), null, now)
+        expectThat(back.usable(now).map { it.name.text }.sorted()).containsExactly("e2", "e3", "e4")
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
@@ -0,0 +1,111 @@
+package comfreypath.daemon
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import comfreypath.daemon.demo.PlatformRequest
+import comfreypath.daemon.demo.freeAddress
+import comfreypath.router.RouterOptions
+import comfreypath.router.ServiceBounds
+import comfreypath.standins.StoreFaults
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import java.time.Duration
+
+class StoreTroubleTest {
+    private val shortBound: (RouterOptions) -> RouterOptions =
+        { it.copy(bounds = ServiceBounds(revocation = Duration.ofMillis(3_000))) }
+    private var number = 0
+
+    private suspend fun PlatformFixture.status(key: String? = "key-1", router: Int = 0, route: String = "history"): Int? =
+        call(PlatformRequest(route, "r${number++}", key = key), router)?.status
+
+    @Test
+    fun `in an outage keys count until their bound, are refused as not run then, and count again after it`() =
+        PlatformFixture(tune = shortBound).run {
+            setStore(StoreFaults(outage = true))
+            expectThat(status()).isEqualTo(200)
+            delay(3_000)
+            expectThat(status()).isEqualTo(503)
+            expectThat(status(key = null, route = "open")).isEqualTo(200)
+            setStore(StoreFaults())
+            eventually("keys that count") { status() == 200 }
+        }
+
+    @Test
+    fun `an unknown key or route is not denied while the configuration may be old`() = PlatformFixture().run {
+        setStore(StoreFaults(refuse = true))
+        delay(1_500)
+        expectThat(status(key = "new-key")).isEqualTo(503)
+        expectThat(status(route = "new-route")).isEqualTo(503)
+    }
+
+    @Test
+    fun `a router that can't reach the store learns from its peers, revocations too`() =
+        PlatformFixture(tune = shortBound).run {
+            val informed = fleet.routers.single().options
+            val cutOff = RouterOptions(
+                name = InstanceName("cut-off"),
+                dataCentre = DataCentreName("data-centre-1"),
+                callerAddress = freeAddress(),
+                readinessAddress = freeAddress(),
+                peerAddress = freeAddress(),
+                metricsAddress = freeAddress(),
+                objectStore = freeAddress(),
+                peers = listOf(informed.peerAddress),
+                bounds = informed.bounds,
+            )
+            fleet.awaitReady(fleet.launch(cutOff))
+            expectThat(status(key = "key-2", router = 1)).isEqualTo(200)
+            delay(4_000)
+            expectThat(status(key = "key-2", router = 1)).isEqualTo(200)
+            fleet.platform.configure { configuration ->
+                configuration.copy(teams = configuration.teams.orEmpty().take(1).toImmutableList())
+            }
+            eventually("the key refused") { status(key = "key-2", router = 1) == 401 }
+        }
+
+    @Test
+    fun `a watch that went silent is found out by what a peer knows`() = PlatformFixture(routers = 2).run {
+        val server = fleet.plainServers.first()
+        setStore(StoreFaults(silentWatches = true))
+        delay(4_000)
+        setStore(StoreFaults())
+        fleet.platform.reregister(server.endpoint.copy(draining = true))
+        eventually("no request at the draining server") {
+            val before = server.server.seen.size
+            repeat(8) { status(router = it % 2) }
+            server.server.seen.size == before
+        }
+    }
+
+    @Test
+    fun `a history that is gone is read anew`() = PlatformFixture().run {
+        setStore(StoreFaults(forgetHistory = true))
+        fleet.platform.configure {
+            it.copy(
+                routes = it.routes.filterNot { route -> route.name == "open" }.toImmutableList()
+            )
+        }
+        eventually("the route gone") { status(key = null, route = "open") == 404 }
+    }
+
+    @Test
+    fun `lost answers of the store do not keep a router from registering`() = PlatformFixture(routers = 2).run {
+        setStore(StoreFaults(loseAnswersPercent = 50))
+        val options = fleet.routers.first().options.copy(
+            name = InstanceName("late"),
+            callerAddress = freeAddress(),
+            readinessAddress = freeAddress(),
+            peerAddress = freeAddress(),
+            metricsAddress = freeAddress(),
+        )
+        val late = fleet.launch(options)
+        eventually("peers that are heard") { late.router.livePeers == 2 }
+        expectThat(status(router = 2)).isNotNull().isGreaterThan(0)
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
@@ -14,7 +14,7 @@
     )
 
     /** The limits for a connection that opens now. */
-    fun current(): HttpServerOptions = view.configuration?.value?.limits?.let { limits ->
+    fun current(): HttpServerOptions = view.configuration.current?.value?.limits?.let { limits ->
         defaults.copy(
             headerBytes = limits.headerBytes,
             bodyBytes = limits.bodyBytes,
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -10,6 +10,7 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationSink
+import comfreypath.router.view.FollowerSupport
 import comfreypath.router.view.StoreFollower
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
@@ -25,22 +26,22 @@
     private val view: ClusterView,
     private val peers: PeerLink,
 ) {
-    private val configurationSink = ConfigurationSink(context, view)
+    private val configurationSink = ConfigurationSink(context, view.configuration)
     private val betterInformed = BetterInformedPeer(view) { peers.live }
     private val registration = Registration(context, store)
     private val copies = PeerCopies(
         context,
         store,
         mapOf(
-            ObjectKinds.CONFIGURATION.label to view::configurationCopy,
-            ObjectKinds.ENDPOINTS.label to view.endpoints::copy,
+            ObjectKinds.CONFIGURATION.label to view.configuration::copy,
+            ObjectKinds.ENDPOINTS.label to view.endpoints.entries::copy,
             ObjectKinds.ROLLOUTS.label to view.rollouts::copy,
             ObjectKinds.EVACUATIONS.label to view.evacuations::copy,
             ObjectKinds.ROUTERS.label to view.routers::copy,
         ),
     )
     private val configurationFollower = follower(ObjectKinds.CONFIGURATION, configurationSink)
-    private val endpointFollower = follower(ObjectKinds.ENDPOINTS, view.endpoints)
+    private val endpointFollower = follower(ObjectKinds.ENDPOINTS, view.endpoints.entries)
     private val otherFollowers: Map<String, StoreFollower<*>> = mapOf(
         ObjectKinds.ROLLOUTS.code to follower(ObjectKinds.ROLLOUTS, view.rollouts),
         ObjectKinds.EVACUATIONS.code to follower(ObjectKinds.EVACUATIONS, view.evacuations),
@@ -49,7 +50,7 @@
     private val followers = otherFollowers + (ObjectKinds.ENDPOINTS.code to endpointFollower)
 
     /** Proves that the configuration in force is the newest one. */
-    val probe = ConfigurationProbe(context, store, view, configurationSink)
+    val probe = ConfigurationProbe(context, store, view.configuration, configurationSink)
 
     /** Starts to learn what requests need. */
     fun startEssentials() {
@@ -82,7 +83,11 @@
     }
 
     private fun <T : Any> follower(kind: ObjectKind<T>, sink: StoreSink<T>) =
-        StoreFollower(context, store, kind, sink, ::watchTime) { askPeers(kind, sink) }
+        StoreFollower(context, store, kind, sink, FollowerSupport(::watchTime, { askPeers(kind, sink) }, ::regained))
+
+    private fun regained() {
+        view.endpoints.storeRegainedAt = context.now()
+    }
 
     /** Asks a peer that knows more about [kind] than this router, if there is one. */
     private suspend fun <T : Any> askPeers(kind: ObjectKind<T>, sink: StoreSink<T>) {
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -92,7 +92,7 @@
             ),
         )::relay,
     )
-    private val requests: RequestPipeline = RequestPipeline(context, formats.callers, stages())
+    private val requests: RequestPipeline = RequestPipeline(context, formats.callers, view.configuration, stages())
     private val callers = HttpServer(
         loop,
         CallerServerOptions(options.connections, view, formats.callers)::current,
@@ -104,11 +104,19 @@
     /** The metrics of this router. */
     val routerMetrics: RouterMetrics get() = context.metrics
 
+    /** The number of other routers whose statuses arrive. */
+    val livePeers: Int get() = peers.live.size
+
     private fun stages() = pipeline(
         listOf(
-            FaultFilter(view, ::refuse)::filter,
-            RouteFilter(view, knowledge.probe, ::refuse)::filter,
-            KeyFilter(view, knowledge.probe, context.options.bounds.revocation.minus(KEY_MARGIN), ::refuse)::filter,
+            FaultFilter(view.configuration, ::refuse)::filter,
+            RouteFilter(view.configuration, knowledge.probe, ::refuse)::filter,
+            KeyFilter(
+                view.configuration,
+                knowledge.probe,
+                context.options.bounds.revocation.minus(KEY_MARGIN),
+                ::refuse
+            )::filter,
         ),
         AnswerStage(relay::run, ::refuse)::answer,
     )
@@ -133,7 +141,7 @@
         while (true) {
             delay(SWEEP_MILLISECONDS)
             pool.sweep()
-            ledger.retain { view.endpoint(it) != null }
+            ledger.retain { view.endpoints.knows(it) }
         }
     }
 
@@ -177,7 +185,8 @@
     }
 
     /** True while callers may be sent to this router. */
-    val ready: Boolean get() = !stopping && view.configuration != null && view.endpoints.confirmedAt != null
+    val ready: Boolean
+        get() = !stopping && view.configuration.current != null && view.endpoints.entries.confirmedAt != null
 
     private companion object {
         val KEY_MARGIN: Duration = Duration.ofMillis(KEY_MARGIN_MILLISECONDS)
--- a/router/src/main/kotlin/comfreypath/router/peers/BetterInformedPeer.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/BetterInformedPeer.kt
@@ -21,7 +21,7 @@
 
     private fun knowsNewerConfiguration(peer: Peer): Boolean {
         val known = peer.status?.configuration?.version
-        val own = view.configuration?.value?.version
+        val own = view.configuration.current?.value?.version
         return known != null && (own == null || known > own)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -75,6 +75,7 @@
         }
         context.scope.launch {
             while (true) {
+                view.configuration.checkClocks()
                 step(FleetEvent.Due(status()))
                 refreshLive()
                 delay(TICK_MILLISECONDS)
@@ -96,7 +97,7 @@
             dataCentre = context.options.dataCentre,
             stamp = StatusStamp(state.incarnation, now.toEpochMilli()),
             ready = ready(),
-            configuration = view.configuration?.let {
+            configuration = view.configuration.current?.let {
                 ConfigurationProof(it.value.version, it.age(now).toMillis() + 1)
             },
             digests = view.digests(),
@@ -134,9 +135,9 @@
     }
 
     private fun confirm(action: FleetAction.Confirm) {
-        val known = view.configuration?.value?.version
+        val known = view.configuration.current?.value?.version
         when {
-            known == action.version -> view.confirmConfiguration(action.confirmedAt)
+            known == action.version -> view.configuration.confirm(action.confirmedAt)
             known == null || known < action.version -> state.peers[action.by]?.let { onNewerConfiguration(it.address) }
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -1,8 +1,8 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.routing.Team
-import comfreypath.router.view.ClusterView
 import comfreypath.router.view.ConfigurationProbe
+import comfreypath.router.view.ConfigurationView
 import java.time.Duration
 
 private const val NOT_READY_RETRY_MILLISECONDS = 500L
@@ -16,14 +16,16 @@
     Refusal(RefusalCode.NOT_READY, detail, Duration.ofMillis(NOT_READY_RETRY_MILLISECONDS))
 
 /** Refuses requests whose body can't be read; a caller without a valid key learns only that. */
-class FaultFilter(private val view: ClusterView, private val refuse: suspend (CallerExchange, Refusal) -> Unit) {
+class FaultFilter(
+    private val view: ConfigurationView,
+    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+) {
     /** Hands requests on that have no fault. */
     suspend fun filter(exchange: CallerExchange, next: Stage) {
         val fault = exchange.request.fault
-        val keysChecked = view.configuration?.value?.teams != null
         when {
             fault == null -> next(exchange)
-            keysChecked && exchange.request.apiKey?.let { view.teams.find(it) } == null ->
+            view.keysChecked && exchange.request.apiKey?.let { view.teams.find(it) } == null ->
                 refuse(exchange, Refusal(RefusalCode.UNKNOWN_KEY, "no team holds the key"))
             else -> refuse(exchange, fault)
         }
@@ -32,13 +34,13 @@
 
 /** Finds the route of a request. A route is denied only while the configuration is known to be fresh. */
 class RouteFilter(
-    private val view: ClusterView,
+    private val view: ConfigurationView,
     private val probe: ConfigurationProbe,
     private val refuse: suspend (CallerExchange, Refusal) -> Unit,
 ) {
     /** Hands requests on that have a route. */
     suspend fun filter(exchange: CallerExchange, next: Stage) {
-        val known = view.configuration != null
+        val known = view.current != null
         val fresh = known && (find(exchange) != null || probe.confirmed(DENIAL_AGE))
         val route = find(exchange)
         when {
@@ -67,15 +69,15 @@
  * taken away is refused in time even on a router that hears nothing.
  */
 class KeyFilter(
-    private val view: ClusterView,
+    private val view: ConfigurationView,
     private val probe: ConfigurationProbe,
     private val longestAge: Duration,
     private val refuse: suspend (CallerExchange, Refusal) -> Unit,
 ) {
     /** Hands requests on whose key is held by a team, and those that need none. */
     suspend fun filter(exchange: CallerExchange, next: Stage) {
-        val checked = view.configuration?.value?.teams != null && !exchange.route.public
-        if (!checked) {
+        view.checkClocks()
+        if (!view.keysChecked || exchange.route.public) {
             next(exchange)
             return
         }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -1,6 +1,5 @@
 package comfreypath.router.request
 
-import comfreypath.coordination.health.HealthEvidence
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.CourseAction
@@ -79,7 +78,7 @@
         outcome is AttemptOutcome.NotSent || parts.retries.take(selection.endpoint.service)
 
     private fun record(selection: Selection, outcome: AttemptOutcome, action: CourseAction) {
-        evidence(outcome)?.let { parts.ledger.observe(selection.endpoint.name, it) }
+        parts.ledger.observe(selection.endpoint.name, outcome.evidence())
         context.metrics.attempts.labelValues(outcome.javaClass.simpleName).inc()
         context.log.record(
             "attempt",
@@ -95,21 +94,6 @@
         )
     }
 
-    private fun evidence(outcome: AttemptOutcome): HealthEvidence? = when (outcome) {
-        is AttemptOutcome.Answered ->
-            if (outcome.status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-                HealthEvidence.ANSWERED
-            } else {
-                HealthEvidence.FAILED
-            }
-        is AttemptOutcome.NotRun -> HealthEvidence.FULL
-        is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
-        is AttemptOutcome.Unknown -> when (outcome.reason) {
-            UnknownReason.TIMED_OUT -> HealthEvidence.SILENT
-            UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED -> HealthEvidence.LOST
-        }
-    }
-
     private fun ended(action: CourseAction, result: RelayResult?): RelayResult = when {
         result != null && action == CourseAction.Deliver -> result
         stream?.started == true -> RelayResult.Streamed(complete = false)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -53,7 +53,7 @@
     fun select(exchange: CallerExchange, excluded: Set<EndpointName>): Selection? {
         val identity = hashOf(exchange.request.id.text)
         val service = serviceFor(exchange.route, identity)
-        val registered = service?.let { view.endpointsOf(it) }.orEmpty()
+        val registered = service?.let { view.endpoints.of(it) }.orEmpty()
         val candidates = candidates(registered, excluded, context.now())
         val shared = exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()
         return if (shared == null) {
@@ -87,9 +87,9 @@
 
     /** True unless the endpoint is cold and other routers send to it, or it has had enough for now. */
     private fun admitsWhileCold(endpoint: Endpoint, now: Instant): Boolean {
-        val rate = view.configuration?.value?.services?.get(endpoint.service)?.coldRequestsPerSecond ?: 0.0
+        val rate = view.configuration.current?.value?.services?.get(endpoint.service)?.coldRequestsPerSecond ?: 0.0
         val entry = ledger.entry(endpoint.name)
-        val limited = rate > 0.0 && view.cold(endpoint, now)
+        val limited = rate > 0.0 && view.endpoints.cold(endpoint, now)
         entry.coldBucket = if (limited) {
             val own = cold.rate(endpoint.name, rate, context.options.name, others.names)
             cold.bucket(entry.coldBucket, own, now)
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.router.RouterContext
+import comfreypath.router.view.ConfigurationView
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -11,6 +12,7 @@
 class RequestPipeline(
     private val context: RouterContext,
     private val dialect: CallerDialect,
+    private val configuration: ConfigurationView,
     private val stages: Stage,
 ) {
     /** The requests in progress. */
@@ -53,6 +55,8 @@
             "code" to refusal.code.text,
             "detail" to refusal.detail,
             "waitedMs" to waited,
+            "configuration" to configuration.current?.value?.version,
+            "configurationAgeMs" to configuration.age()?.toMillis(),
         )
         write(refusal, exchange.request, exchange.writer)
     }
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -23,13 +23,13 @@
 class ConfigurationProbe(
     private val context: RouterContext,
     private val store: ObjectStore,
-    private val view: ClusterView,
+    private val view: ConfigurationView,
     private val sink: ConfigurationSink,
 ) {
     private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
     private var reading: CompletableDeferred<Boolean>? = null
 
-    private fun fresh(age: Duration): Boolean = view.configuration?.let { it.age(context.now()) <= age } ?: false
+    private fun fresh(age: Duration): Boolean = view.age()?.let { it <= age } ?: false
 
     /** Starts to read. */
     fun start() {
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -25,22 +25,27 @@
 /** How long a peer may know more before this router's own watch counts as silent. */
 private val LONGEST_LAG: Duration = Duration.ofMillis(LONGEST_LAG_MILLISECONDS)
 
+/**
+ * What a follower needs beside the store.
+ *
+ * @property wait how long a watch may stay open without a change
+ * @property askPeers asks other routers while the store does not answer
+ * @property regained called when the store answers again after an outage
+ */
+class FollowerSupport(val wait: () -> Duration, val askPeers: suspend () -> Unit, val regained: () -> Unit)
+
 /**
  * Keeps a [StoreSink] up to date with the objects of one kind: lists them, and then watches from the list's revision.
  *
  * Each wait is random to a degree, so that the routers do not all call the store at the same moment. A watch whose
  * connection has silently lost its other end is found out by what peers know, see [compare].
- *
- * @property wait how long a watch may stay open without a change
- * @property askPeers asks other routers while the store does not answer
  */
 class StoreFollower<T : Any>(
     private val context: RouterContext,
     private val store: ObjectStore,
     private val kind: ObjectKind<T>,
     private val sink: StoreSink<T>,
-    private val wait: () -> Duration,
-    private val askPeers: suspend () -> Unit,
+    private val support: FollowerSupport,
 ) {
     private val random: UniformRandomProvider =
         RandomSource.SPLIT_MIX_64.create((context.options.name.text + kind.label).hashCode().toLong())
@@ -58,7 +63,7 @@
             while (true) {
                 list()?.let { revision -> watch(revision) }
                 if (lost) {
-                    askPeers()
+                    support.askPeers()
                 }
                 delay(pauseMilliseconds())
             }
@@ -128,7 +133,7 @@
     private suspend fun watchOnce(from: Long): Long? {
         val sentAt: Instant = context.now()
         val spread = 1 + SPREAD * (random.nextDouble() * 2 - 1)
-        val longest = Duration.ofMillis((wait().toMillis() * spread).toLong())
+        val longest = Duration.ofMillis((support.wait().toMillis() * spread).toLong())
         val batch = store.watch(kind, from, longest).fold(success = { it }, failure = { failed("watch", it) })
             ?: return null
         succeeded()
@@ -154,6 +159,7 @@
         lostSince?.let {
             val milliseconds = Duration.between(it, context.now()).toMillis()
             context.log.record("store_regained", "kind" to kind.label, "afterMs" to milliseconds)
+            support.regained()
         }
         lostSince = null
     }
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -18,14 +18,17 @@
 }
 
 /** Puts configurations in force. */
-class ConfigurationSink(private val context: RouterContext, private val view: ClusterView) : StoreSink<Configuration> {
+class ConfigurationSink(
+    private val context: RouterContext,
+    private val view: ConfigurationView
+) : StoreSink<Configuration> {
     override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) =
         objects.forEach { take(it, confirmedAt) }
 
     override fun apply(changes: List<ObjectChange<Configuration>>, revision: Long, confirmedAt: Instant) {
         changes.filterNot { it.removed }.forEach { take(it.changed, confirmedAt) }
         if (changes.isEmpty()) {
-            view.confirmConfiguration(confirmedAt)
+            view.confirm(confirmedAt)
         }
     }
 
@@ -35,7 +38,7 @@
             return
         }
         stored.value.fold(
-            success = { view.takeConfiguration(it, stored.revision, confirmedAt, stored.document) },
+            success = { view.take(it, stored.revision, confirmedAt, stored.document) },
             failure = {
                 context.log.record("configuration_unreadable", "reason" to it, "revision" to stored.revision)
             },
