--- a/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
@@ -21,8 +21,11 @@
         { it.copy(bounds = ServiceBounds(revocation = Duration.ofMillis(3_000))) }
     private var number = 0
 
-    private suspend fun PlatformFixture.status(key: String? = "key-1", router: Int = 0, route: String = "history"): Int? =
-        call(PlatformRequest(route, "r${number++}", key = key), router)?.status
+    private suspend fun PlatformFixture.status(
+        key: String? = "key-1",
+        router: Int = 0,
+        route: String = "history",
+    ): Int? = call(PlatformRequest(route, "r${number++}", key = key), router)?.status
 
     @Test
     fun `in an outage keys count until their bound, are refused as not run then, and count again after it`() =
