Let one router in each data centre watch the store, and the others learn from it

Cause: each event of the store ended the watch of every router, nine calls for one change. Change: StoreRelays chooses a watcher for each data centre and kind; a router that is not one fetches a peer's copy when a status shows that the peer knows more; news are told at once.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
@@ -13,8 +13,11 @@
     /** A status arrived from [sender]. */
     data class Heard(val status: PeerStatus, val sender: PeerAddress) : FleetEvent
 
-    /** Time has passed; [own] is this router's status as of now, without an echo. */
+    /** Statuses are due; [own] is this router's as of now, without an echo. */
     data class Due(val own: PeerStatus) : FleetEvent
+
+    /** This router has learnt something that its peers should know soon. */
+    data object News : FleetEvent
 }
 
 /** What a router must do about the fleet. */
@@ -26,7 +29,7 @@
     data class Confirm(val version: Long, val confirmedAt: Instant, val by: InstanceName) : FleetAction
 
     /** A peer told what it knows of the kind whose code is [kind]; it is to be compared. */
-    data class Compare(val kind: String, val digest: KindDigest) : FleetAction
+    data class Compare(val kind: String, val digest: KindDigest, val by: PeerAddress) : FleetAction
 }
 
 /**
@@ -41,6 +44,7 @@
         is FleetEvent.Registered -> Step(registered(state, event.routers))
         is FleetEvent.Heard -> heard(state, event.status, event.sender, now)
         is FleetEvent.Due -> due(state, event.own, now)
+        FleetEvent.News -> Step(state.copy(nextStatusAt = minOf(state.nextStatusAt, now + options.newsDelay)))
     }
 
     private fun registered(state: FleetState, routers: List<PeerAddress>): FleetState {
@@ -63,7 +67,7 @@
             return Step(state)
         }
         val next = state.copy(peers = state.peers.put(status.from, peer.copy(heardAt = now, status = status)))
-        return Step(next, proofs(state, status) + comparisons(status))
+        return Step(next, proofs(state, status) + comparisons(status, peer.address))
     }
 
     private fun Peer.olderThan(candidate: PeerStatus): Boolean {
@@ -83,8 +87,8 @@
         }
     }
 
-    private fun comparisons(status: PeerStatus): List<FleetAction> =
-        status.digests.map { (kind, digest) -> FleetAction.Compare(kind, digest) }
+    private fun comparisons(status: PeerStatus, from: PeerAddress): List<FleetAction> =
+        status.digests.map { (kind, digest) -> FleetAction.Compare(kind, digest, from) }
 
     private fun due(state: FleetState, own: PeerStatus, now: Instant): Step<FleetState, FleetAction> {
         if (now < state.nextStatusAt) {
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -20,6 +20,7 @@
  * after that one, whatever happened to either on the way
  * @property leaving true once the sender takes no new requests
  * @property ready true while the sender takes requests
+ * @property storeAnsweredMilliseconds how long ago the store answered the sender; null if it never did
  * @property configuration what the sender knows of the configuration; null if it knows none
  * @property digests what the sender knows of the other kinds of object, by the kind's code
  * @property inFlight the sender's requests at each endpoint where it has some, by the endpoint's name
@@ -32,6 +33,7 @@
     @SerialName("e") val echo: StatusStamp? = null,
     @SerialName("l") val leaving: Boolean = false,
     @SerialName("r") val ready: Boolean = false,
+    @SerialName("s") val storeAnsweredMilliseconds: Long? = null,
     @SerialName("c") val configuration: ConfigurationProof? = null,
     @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
     @SerialName("f") val inFlight: Map<String, Int> = emptyMap(),
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/FleetTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/FleetTest.kt
@@ -83,6 +83,15 @@
             .isEqualTo(StatusStamp(22, 1))
     }
 
+    @Test
+    fun `news are told at once, and together`() {
+        val own = PeerStatus(self.name, south, StatusStamp(11, 0))
+        val told = fleet.step(known, FleetEvent.Due(own), start).state
+        val first = fleet.step(told, FleetEvent.News, start.plusMillis(10)).state
+        val second = fleet.step(first, FleetEvent.News, start.plusMillis(20)).state
+        expectThat(second.nextStatusAt).isEqualTo(start.plusMillis(10) + options.newsDelay)
+    }
+
     @Test
     fun `the interval grows with the fleet so that a router's traffic does not`() {
         val small = options.interval(8).toMillis().toDouble() / 8
--- /dev/null
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreRelaysTest.kt
@@ -0,0 +1,87 @@
+package comfreypath.coordination.fleet
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.time.Instant
+
+class StoreRelaysTest {
+    private val relays = StoreRelays()
+    private val now = Instant.ofEpochSecond(1_000)
+    private val dataCentres = listOf("south", "north", "east").map { DataCentreName(it) }
+
+    private class Router(val name: InstanceName, val dataCentre: DataCentreName)
+
+    private fun routers(count: Int) =
+        (1..count).map { Router(InstanceName("router-$it"), dataCentres[it % dataCentres.size]) }
+
+    private fun peer(router: Router, heardAt: Instant = now, answered: Long? = 500) = Peer(
+        address = PeerAddress(router.name, "10.0.0.1", 7, router.dataCentre),
+        heardAt = heardAt,
+        status = PeerStatus(
+            router.name,
+            router.dataCentre,
+            StatusStamp(1, 1),
+            storeAnsweredMilliseconds = answered,
+        ),
+    )
+
+    private fun watchers(all: List<Router>, seen: (Router) -> Peer = { peer(it) }) = all.filter { self ->
+        relays.watches("e", self.name, self.dataCentre, all.filter { it !== self }.map(seen), now)
+    }
+
+    @Test
+    fun `one router in each data centre watches, whatever their number`() {
+        listOf(3, 9, 88, 400).forEach { count ->
+            val watching = watchers(routers(count))
+            expectThat(watching.map { it.dataCentre }.toSet().size).isEqualTo(3)
+            expectThat(watching.size).isEqualTo(3)
+        }
+    }
+
+    @Test
+    fun `a lone router watches for itself`() {
+        expectThat(watchers(routers(1)).size).isEqualTo(1)
+    }
+
+    @Test
+    fun `another takes over from a relay that is silent, cut off from the store, or leaving`() {
+        val all = routers(9)
+        val relay = watchers(all).first()
+        val troubles: List<(Router) -> Peer> = listOf(
+            { peer(it, heardAt = if (it === relay) now.minusSeconds(2) else now) },
+            { peer(it, answered = if (it === relay) 9_000 else 100) },
+            { peer(it, answered = if (it === relay) null else 100) },
+            { router ->
+                peer(
+                    router
+                ).let { if (router === relay) it.copy(status = it.status?.copy(leaving = true)) else it }
+            },
+        )
+        troubles.forEach { trouble ->
+            val others = watchers(all, trouble).filter { it !== relay && it.dataCentre == relay.dataCentre }
+            expectThat(others.size).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `when no peer is reliable every router watches`() {
+        val all = routers(9)
+        expectThat(watchers(all) { peer(it, answered = null) }.size).isEqualTo(9)
+    }
+
+    @Test
+    fun `different kinds are watched by different routers`() {
+        val all = routers(30)
+        val kinds = listOf("c", "e", "o", "v", "r")
+        val watching = kinds.map { kind ->
+            all.filter { self ->
+                relays.watches(kind, self.name, self.dataCentre, all.filter { it !== self }.map { peer(it) }, now)
+            }.map { it.name }.toSet()
+        }
+        expectThat(watching.toSet().size > 1).isTrue()
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -1,5 +1,7 @@
 package comfreypath.router
 
+import comfreypath.coordination.fleet.PeerAddress
+import comfreypath.coordination.fleet.StoreRelays
 import comfreypath.router.peers.BetterInformedPeer
 import comfreypath.router.peers.PeerCopies
 import comfreypath.router.peers.PeerLink
@@ -14,6 +16,7 @@
 import comfreypath.router.view.StoreFollower
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.time.Duration
 
@@ -29,6 +32,8 @@
     private val configurationSink = ConfigurationSink(context, view.configuration)
     private val betterInformed = BetterInformedPeer(view) { peers.live }
     private val registration = Registration(context, store)
+    private val relays = StoreRelays()
+    private var catchingUp: Job? = null
     private val copies = PeerCopies(
         context,
         store,
@@ -50,7 +55,12 @@
     private val followers = otherFollowers + (ObjectKinds.ENDPOINTS.code to endpointFollower)
 
     /** Proves that the configuration in force is the newest one. */
-    val probe = ConfigurationProbe(context, store, view.configuration, configurationSink)
+    val probe = ConfigurationProbe(
+        context,
+        store,
+        view.configuration,
+        configurationSink
+    ) { storeAnswered(afterOutage = false) }
 
     /** Starts to learn what requests need. */
     fun startEssentials() {
@@ -60,8 +70,11 @@
 
     /** Starts to learn the rest, and to tell and ask peers. */
     suspend fun startRest() {
-        peers.onDigest = { code, digest -> followers[code]?.let { it.compare(view.digests()[code], digest) } }
-        peers.onNewerConfiguration = { peer -> context.scope.launch { catchUp(Address(peer.host, peer.port)) } }
+        peers.onDigest = { code, digest, peer ->
+            followers[code]?.let { it.compare(view.digests()[code], digest, peer) }
+        }
+        peers.onNewerConfiguration = ::catchUp
+        tellNews()
         peers.start()
         copies.start()
         configurationFollower.start()
@@ -69,10 +82,20 @@
         registration.start()
     }
 
-    /** Reads the configuration that a peer has already, from the store or, failing that, from the peer. */
-    private suspend fun catchUp(peer: Address) {
-        if (!probe.probe()) {
-            copies.fetch(peer, ObjectKinds.CONFIGURATION, configurationSink)
+    private fun tellNews() {
+        view.configuration.onChange(peers::news)
+        listOf(view.endpoints.entries, view.rollouts, view.evacuations).forEach { it.onChange(peers::news) }
+    }
+
+    /** Takes the newer configuration that a peer has, from the peer or, failing that, from the store. */
+    private fun catchUp(peer: PeerAddress) {
+        if (catchingUp?.isActive != true) {
+            catchingUp = context.scope.launch {
+                val address = Address(peer.host, peer.port)
+                if (!copies.fetch(address, ObjectKinds.CONFIGURATION, configurationSink)) {
+                    probe.probe()
+                }
+            }
         }
     }
 
@@ -83,20 +106,45 @@
     }
 
     private fun <T : Any> follower(kind: ObjectKind<T>, sink: StoreSink<T>) =
-        StoreFollower(context, store, kind, sink, FollowerSupport(::watchTime, { askPeers(kind, sink) }, ::regained))
+        StoreFollower(
+            context,
+            store,
+            kind,
+            sink,
+            FollowerSupport(
+                watches = { watches(kind) },
+                wait = ::watchTime,
+                askPeer = { peer -> askPeer(peer, kind, sink) },
+                answered = ::storeAnswered,
+            ),
+        )
 
-    private fun regained() {
-        view.endpoints.storeRegainedAt = context.now()
+    private fun watches(kind: ObjectKind<*>): Boolean = relays.watches(
+        kind = kind.code,
+        self = context.options.name,
+        dataCentre = context.options.dataCentre,
+        peers = peers.live,
+        now = context.now(),
+    )
+
+    private fun storeAnswered(afterOutage: Boolean) {
+        peers.storeAnsweredAt = context.now()
+        if (afterOutage) {
+            view.endpoints.storeRegainedAt = context.now()
+        }
     }
 
-    /** Asks a peer that knows more about [kind] than this router, if there is one. */
-    private suspend fun <T : Any> askPeers(kind: ObjectKind<T>, sink: StoreSink<T>) {
-        betterInformed.find(kind)?.let { copies.fetch(it, kind, sink) }
+    /** Asks [peer], or a peer that knows more about [kind] than this router if there is one. */
+    private suspend fun <T : Any> askPeer(peer: PeerAddress?, kind: ObjectKind<T>, sink: StoreSink<T>) {
+        val address = peer?.let { Address(it.host, it.port) } ?: betterInformed.find(kind)
+        address?.let { copies.fetch(it, kind, sink) }
     }
 
-    /** The live routers together renew a watch of each kind at a steady rate, whatever their number. */
-    private fun watchTime(): Duration =
-        minOf(context.options.timeouts.watch.multipliedBy(peers.live.size + 1L), LONGEST_WATCH)
+    /** The relays together renew a watch of each kind at a steady rate, whatever their number. */
+    private fun watchTime(): Duration {
+        val dataCentres = peers.live.map { it.address.dataCentre }.plus(context.options.dataCentre).distinct().size
+        return minOf(context.options.timeouts.watch.multipliedBy(dataCentres.toLong()), LONGEST_WATCH)
+    }
 
     private companion object {
         val LONGEST_WATCH: Duration = Duration.ofSeconds(LONGEST_WATCH_SECONDS)
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -148,6 +148,7 @@
     /** Stops gracefully: reports not ready, finishes what it has, and leaves. */
     suspend fun stop() {
         stopping = true
+        peers.leaving = true
         val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_TIME)
         log.record("stopping", "inProgress" to requests.inProgress)
         delay(LEAVE_NOTICE_MILLISECONDS)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -26,9 +26,11 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import java.time.Duration
+import java.time.Instant
 import kotlin.random.Random
 
-private const val TICK_MILLISECONDS = 50L
+private const val TICK_MILLISECONDS = 20L
 
 /** Exchanges statuses with the other routers. */
 class PeerLink(
@@ -55,8 +57,14 @@
     var live: List<Peer> = emptyList()
         private set
 
-    /** Called with the kind's code and what a peer knows of it, for each digest that arrives. */
-    var onDigest: (String, KindDigest) -> Unit = { _, _ -> }
+    /** Called with the kind's code, what a peer knows of it, and the peer, for each digest that arrives. */
+    var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
+
+    /** When the store last answered this router; null before the first answer. */
+    var storeAnsweredAt: Instant? = null
+
+    /** True once this router takes no new requests. */
+    var leaving: Boolean = false
 
     /** Called when a peer knows a newer configuration. */
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
@@ -76,13 +84,18 @@
         context.scope.launch {
             while (true) {
                 view.configuration.checkClocks()
-                step(FleetEvent.Due(status()))
-                refreshLive()
+                if (context.now() >= state.nextStatusAt) {
+                    step(FleetEvent.Due(status()))
+                    refreshLive()
+                }
                 delay(TICK_MILLISECONDS)
             }
         }
     }
 
+    /** Lets peers know soon that this router has learnt something. */
+    fun news() = step(FleetEvent.News)
+
     /** Stops listening. */
     fun stop() = socket.stop()
 
@@ -97,6 +110,8 @@
             dataCentre = context.options.dataCentre,
             stamp = StatusStamp(state.incarnation, now.toEpochMilli()),
             ready = ready(),
+            leaving = leaving,
+            storeAnsweredMilliseconds = storeAnsweredAt?.let { Duration.between(it, now).toMillis() },
             configuration = view.configuration.current?.let {
                 ConfigurationProof(it.value.version, it.age(now).toMillis() + 1)
             },
@@ -130,7 +145,7 @@
                 socket.send(Address(action.to.host, action.to.port), bytes)
             }
             is FleetAction.Confirm -> confirm(action)
-            is FleetAction.Compare -> onDigest(action.kind, action.digest)
+            is FleetAction.Compare -> onDigest(action.kind, action.digest, action.by)
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -25,6 +25,7 @@
     private val store: ObjectStore,
     private val view: ConfigurationView,
     private val sink: ConfigurationSink,
+    private val answered: () -> Unit,
 ) {
     private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
     private var reading: CompletableDeferred<Boolean>? = null
@@ -54,6 +55,7 @@
             val sentAt = context.now()
             val succeeded = store.read(ObjectKinds.CONFIGURATION, ObjectKinds.CONFIGURATION_NAME).fold(
                 success = { stored ->
+                    answered()
                     stored?.let { sink.take(it, sentAt) }
                     stored != null
                 },
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationView.kt
@@ -31,6 +31,13 @@
     var teams = TeamDirectory(emptyList())
         private set
 
+    private val listeners = mutableListOf<() -> Unit>()
+
+    /** Calls [listener] after each change. */
+    fun onChange(listener: () -> Unit) {
+        listeners += listener
+    }
+
     /** True when requests need the key of a team, unless their route is public. */
     val keysChecked: Boolean get() = current?.value?.teams != null
 
@@ -73,6 +80,7 @@
             "routes" to candidate.routes.size,
             "teams" to candidate.teams?.size,
         )
+        listeners.forEach { it() }
     }
 
     /** Takes in that the configuration in force was still the newest at [confirmedAt]. */
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -39,6 +39,10 @@
     }
 
     override fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant) {
+        if (revision < this.revision) {
+            context.log.record("${label}s_ignored", "revision" to revision, "known" to this.revision)
+            return
+        }
         val readable = HashMap<String, T>()
         revisions.clear()
         documents.clear()
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.fleet.KindDigest
+import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
@@ -18,6 +19,7 @@
 private const val FIRST_RETRY_MILLISECONDS = 100
 private const val LONGEST_RETRY_MILLISECONDS = 800
 private const val LONGEST_DOUBLINGS = 3
+private const val IDLE_MILLISECONDS = 100L
 private const val SPREAD = 0.3
 
 private const val LONGEST_LAG_MILLISECONDS = 400L
@@ -28,14 +30,21 @@
 /**
  * What a follower needs beside the store.
  *
+ * @property watches true while this router is to watch the store itself
  * @property wait how long a watch may stay open without a change
- * @property askPeers asks other routers while the store does not answer
- * @property regained called when the store answers again after an outage
+ * @property askPeer asks a peer, or any better informed one if null, for its copy of the objects
+ * @property answered called when the store answered, and whether that ended an outage
  */
-class FollowerSupport(val wait: () -> Duration, val askPeers: suspend () -> Unit, val regained: () -> Unit)
+class FollowerSupport(
+    val watches: () -> Boolean,
+    val wait: () -> Duration,
+    val askPeer: suspend (PeerAddress?) -> Unit,
+    val answered: (afterOutage: Boolean) -> Unit,
+)
 
 /**
- * Keeps a [StoreSink] up to date with the objects of one kind: lists them, and then watches from the list's revision.
+ * Keeps a [StoreSink] up to date with the objects of one kind: it lists them and then watches from the list's revision,
+ * while this router is to watch the store; otherwise it takes the copies of peers that know more.
  *
  * Each wait is random to a degree, so that the routers do not all call the store at the same moment. A watch whose
  * connection has silently lost its other end is found out by what peers know, see [compare].
@@ -53,6 +62,7 @@
     private var lostSince: Instant? = null
     private var watching: Job? = null
     private var behindSince: Instant? = null
+    private var fetching: Job? = null
 
     /** True while the store does not answer this router about this kind. */
     val lost: Boolean get() = lostSince != null
@@ -61,27 +71,43 @@
     fun start() {
         context.scope.launch {
             while (true) {
-                list()?.let { revision -> watch(revision) }
-                if (lost) {
-                    support.askPeers()
+                if (support.watches()) {
+                    list()?.let { revision -> watch(revision) }
+                    if (lost) {
+                        support.askPeer(null)
+                    }
+                    delay(pauseMilliseconds())
+                } else {
+                    failures = 0
+                    lostSince = null
+                    delay(IDLE_MILLISECONDS)
                 }
-                delay(pauseMilliseconds())
             }
         }
     }
 
-    /** Takes in what a peer knows, to be compared with [own]; opens the watch anew when it seems to miss something. */
-    fun compare(own: KindDigest?, peers: KindDigest) {
+    /**
+     * Takes in what [peer] knows, to be compared with [own]: while this router watches, its watch is opened anew when
+     * it seems to miss something; otherwise the peer's copy is fetched.
+     */
+    fun compare(own: KindDigest?, peers: KindDigest, peer: PeerAddress) {
         val now = context.now()
-        val behind = own != null && peers.revision > own.revision && peers.hash != own.hash
+        val behind = own == null || peers.revision > own.revision && peers.hash != own.hash
         val since = behindSince
         when {
             !behind -> if (own != null && own.revision >= peers.revision) behindSince = null
+            watching == null -> catchUp(peer)
             since == null -> behindSince = now
             Duration.between(since, now) > LONGEST_LAG -> reopen("a peer knows revision ${peers.revision}")
         }
     }
 
+    private fun catchUp(peer: PeerAddress) {
+        if (fetching?.isActive != true) {
+            fetching = context.scope.launch { support.askPeer(peer) }
+        }
+    }
+
     /** Lists the objects again, on a new connection. */
     fun reopen(reason: String) {
         behindSince = null
@@ -121,7 +147,7 @@
     private suspend fun watch(from: Long) {
         val job = context.scope.launch {
             var revision: Long? = from
-            while (revision != null) {
+            while (revision != null && support.watches()) {
                 revision = watchOnce(revision)
             }
         }
@@ -159,8 +185,8 @@
         lostSince?.let {
             val milliseconds = Duration.between(it, context.now()).toMillis()
             context.log.record("store_regained", "kind" to kind.label, "afterMs" to milliseconds)
-            support.regained()
         }
+        support.answered(lost)
         lostSince = null
     }
 }
