Probe less, gather changes, and tie denials to the bound for configurations

Cause: three probes a second and a call for each single change were most of what the store was asked. Change: a probe at 2.4 to 3.6 s instead of 1.2 to 2 s, 120 ms of gathering after changes; the age up to which a route or a key is denied follows from the setting configuration-bound (config_apply_ms of the platform) less 300 ms. The test of that age waited 1.5 s, less than the stated 2 s; it now waits for the stated bound.

--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
@@ -61,6 +61,12 @@
     )
     private val collector = Setting.optionalText("trace-collector", "the URL to which spans are sent over OTLP")
 
+    private val configurationBound = Setting.duration(
+        "configuration-bound",
+        "the time after which an accepted configuration is in force",
+        bounds.configuration,
+        MINUTE,
+    )
     private val retryShare = Setting.decimal(
         name = "retry-share",
         description = "the retries that the fleet may send to a service for each request",
@@ -91,6 +97,7 @@
         peers,
         collector,
         grace,
+        configurationBound,
         revocation,
         retryShare,
         retrySlack,
@@ -101,6 +108,7 @@
     fun callerInterface(given: GivenSettings): CallerInterface = given.take(spoken, CallerInterface.OPENAI)
 
     private fun bounds(given: GivenSettings) = ServiceBounds(
+        configuration = given.take(configurationBound, bounds.configuration),
         revocation = given.take(revocation, bounds.revocation),
         retries = RetryBounds(
             share = given.take(retryShare, bounds.retries.share),
--- a/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
@@ -42,7 +42,7 @@
     @Test
     fun `an unknown key or route is not denied while the configuration may be old`() = PlatformFixture().run {
         setStore(StoreFaults(refuse = true))
-        delay(1_500)
+        delay(ServiceBounds().configuration.toMillis())
         expectThat(status(key = "new-key")).isEqualTo(503)
         expectThat(status(route = "new-route")).isEqualTo(503)
     }
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -113,7 +113,7 @@
             sink,
             FollowerSupport(
                 watches = { watches(kind) },
-                wait = ::watchTime,
+                wait = { if (kind == ObjectKinds.ROUTERS) LONGEST_WATCH else watchTime() },
                 askPeer = { peer -> askPeer(peer, kind, sink) },
                 answered = ::storeAnswered,
             ),
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -13,6 +13,7 @@
 import comfreypath.router.request.EndpointSelector
 import comfreypath.router.request.FaultFilter
 import comfreypath.router.request.KeyFilter
+import comfreypath.router.request.LongestAges
 import comfreypath.router.request.Refusal
 import comfreypath.router.request.RelayParts
 import comfreypath.router.request.RequestPipeline
@@ -40,7 +41,6 @@
 private const val SWEEP_MILLISECONDS = 500L
 private const val STOP_POLL_MILLISECONDS = 20L
 private const val LEAVE_NOTICE_MILLISECONDS = 2_500L
-private const val KEY_MARGIN_MILLISECONDS = 500L
 private const val EXIT_MILLISECONDS = 350L
 
 /** The adapters of the wire formats that a router speaks. */
@@ -77,6 +77,7 @@
     private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
     private val peers = PeerLink(context, view, ledger, { ready })
     private val knowledge = Knowledge(context, store, view, peers)
+    private val ages = LongestAges(options.bounds)
     private val claims = Claims(context, store)
     private val relay = ClaimedRelay(
         context,
@@ -110,13 +111,8 @@
     private fun stages() = pipeline(
         listOf(
             FaultFilter(view.configuration, ::refuse)::filter,
-            RouteFilter(view.configuration, knowledge.probe, ::refuse)::filter,
-            KeyFilter(
-                view.configuration,
-                knowledge.probe,
-                context.options.bounds.revocation.minus(KEY_MARGIN),
-                ::refuse
-            )::filter,
+            RouteFilter(view.configuration, knowledge.probe, ages, ::refuse)::filter,
+            KeyFilter(view.configuration, knowledge.probe, ages, ::refuse)::filter,
         ),
         AnswerStage(relay::run, ::refuse)::answer,
     )
@@ -190,7 +186,6 @@
         get() = !stopping && view.configuration.current != null && view.endpoints.entries.confirmedAt != null
 
     private companion object {
-        val KEY_MARGIN: Duration = Duration.ofMillis(KEY_MARGIN_MILLISECONDS)
         val EXIT_TIME: Duration = Duration.ofMillis(EXIT_MILLISECONDS)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
@@ -13,6 +13,7 @@
 private const val WATCH_MILLISECONDS = 2_000L
 private const val GRACE_SECONDS = 8L
 private const val REVOCATION_MILLISECONDS = 5_000L
+private const val CONFIGURATION_MILLISECONDS = 2_000L
 private const val RETRY_SHARE = 0.2
 private const val RETRY_SLACK = 50.0
 private const val RETRY_WINDOW_SECONDS = 10L
@@ -66,9 +67,11 @@
  * What the operators of a deployment demand of the fleet.
  *
  * @property revocation the time after which a key that was taken away is used by no router, in touch or not
+ * @property configuration the time after which an accepted configuration is in force on every router in touch
  * @property retries what the whole fleet may send beyond the first attempt of each request
  */
 data class ServiceBounds(
+    val configuration: Duration = Duration.ofMillis(CONFIGURATION_MILLISECONDS),
     val retries: RetryBounds = RetryBounds(RETRY_SHARE, RETRY_SLACK, Duration.ofSeconds(RETRY_WINDOW_SECONDS)),
     val revocation: Duration = Duration.ofMillis(REVOCATION_MILLISECONDS),
 )
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -1,20 +1,32 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.routing.Team
+import comfreypath.router.ServiceBounds
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationView
 import java.time.Duration
 
 private const val NOT_READY_RETRY_MILLISECONDS = 500L
 
-private const val DENIAL_MILLISECONDS = 1_000L
-
-/** The age up to which the configuration can deny that a route or a key exists. */
-private val DENIAL_AGE: Duration = Duration.ofMillis(DENIAL_MILLISECONDS)
-
 private fun notReady(detail: String) =
     Refusal(RefusalCode.NOT_READY, detail, Duration.ofMillis(NOT_READY_RETRY_MILLISECONDS))
 
+/**
+ * How long ago the configuration in force must have been the newest one.
+ *
+ * @property denial for a route or a key to be denied; a newer configuration may have it
+ * @property keys for a key to count; a newer configuration may have taken it away
+ */
+class LongestAges(bounds: ServiceBounds) {
+    val denial: Duration = bounds.configuration.minusMillis(DENIAL_MARGIN_MILLISECONDS)
+    val keys: Duration = bounds.revocation.minusMillis(KEY_MARGIN_MILLISECONDS)
+
+    private companion object {
+        const val DENIAL_MARGIN_MILLISECONDS = 300L
+        const val KEY_MARGIN_MILLISECONDS = 500L
+    }
+}
+
 /** Refuses requests whose body can't be read; a caller without a valid key learns only that. */
 class FaultFilter(
     private val view: ConfigurationView,
@@ -36,12 +48,13 @@
 class RouteFilter(
     private val view: ConfigurationView,
     private val probe: ConfigurationProbe,
+    private val ages: LongestAges,
     private val refuse: suspend (CallerExchange, Refusal) -> Unit,
 ) {
     /** Hands requests on that have a route. */
     suspend fun filter(exchange: CallerExchange, next: Stage) {
         val known = view.current != null
-        val fresh = known && (find(exchange) != null || probe.confirmed(DENIAL_AGE))
+        val fresh = known && (find(exchange) != null || probe.confirmed(ages.denial))
         val route = find(exchange)
         when {
             !known -> refuse(exchange, notReady("no configuration is known yet"))
@@ -65,13 +78,13 @@
 /**
  * Finds the team that holds a caller's key.
  *
- * A key counts only while the configuration was the newest one less than [longestAge] ago, so that a key that was
+ * A key counts only while the configuration is known to have been the newest one lately, so that a key that was
  * taken away is refused in time even on a router that hears nothing.
  */
 class KeyFilter(
     private val view: ConfigurationView,
     private val probe: ConfigurationProbe,
-    private val longestAge: Duration,
+    private val ages: LongestAges,
     private val refuse: suspend (CallerExchange, Refusal) -> Unit,
 ) {
     /** Hands requests on whose key is held by a team, and those that need none. */
@@ -81,7 +94,7 @@
             next(exchange)
             return
         }
-        val longest = if (team(exchange) != null) longestAge else DENIAL_AGE
+        val longest = if (team(exchange) != null) ages.keys else ages.denial
         val fresh = probe.confirmed(longest)
         val team = team(exchange)
         when {
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -11,8 +11,8 @@
 import java.time.Duration
 
 private const val TICK_MILLISECONDS = 100L
-private const val AGE_MILLISECONDS = 1_200
-private const val AGE_SPREAD_MILLISECONDS = 800
+private const val AGE_MILLISECONDS = 2_400
+private const val AGE_SPREAD_MILLISECONDS = 1_200
 
 /**
  * Reads the configuration whenever the last proof that it is the newest one gets old.
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -20,6 +20,9 @@
 private const val LONGEST_RETRY_MILLISECONDS = 800
 private const val LONGEST_DOUBLINGS = 3
 private const val IDLE_MILLISECONDS = 100L
+
+/** Changes come in bursts; those of one burst share a call. */
+private const val GATHERING_MILLISECONDS = 120L
 private const val SPREAD = 0.3
 
 private const val LONGEST_LAG_MILLISECONDS = 400L
@@ -164,6 +167,9 @@
             ?: return null
         succeeded()
         sink.apply(batch.changes, batch.revision, sentAt)
+        if (batch.changes.isNotEmpty()) {
+            delay(GATHERING_MILLISECONDS)
+        }
         return batch.revision
     }
 
