Reload settings on SIGHUP, prove the configuration in time for routers that the store turns away

Cause: the Java runtime ends a process on SIGHUP, so that a changed settings file restarted routers; counters of answers and the latency histogram were declared and never fed; engines were not told which requests are urgent; the line of an attempt did not say how old its inputs were. Change: SettingsReloader (SIGHUP, or a file that changed), CurrentOptions; AnswerStage counts and times answers; X-Request-Priority from the team's or the route's rank; SelectionBasis in the log; ProofSchedule ties the age at which the configuration is read to the bound for keys.

--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -1,12 +1,15 @@
 package comfreypath.daemon.command
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
 import comfreypath.daemon.EXIT_USAGE
 import comfreypath.daemon.settings.CallerInterface
 import comfreypath.daemon.settings.GivenSettings
+import comfreypath.daemon.settings.ReloadActions
 import comfreypath.daemon.settings.RouterSettings
+import comfreypath.daemon.settings.SettingsReloader
 import comfreypath.openai.OpenAiCallerDialect
 import comfreypath.openai.OpenAiEndpointDialect
 import comfreypath.platform.PlatformCallerDialect
@@ -17,8 +20,11 @@
 import comfreypath.router.WireFormats
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import java.io.File
 import java.io.IOException
 import java.time.Instant
 import java.util.concurrent.CountDownLatch
@@ -37,7 +43,14 @@
             .andThen { given -> RouterSettings.options(given).map { given to it } }
             .fold(
                 success = { (given, options) ->
-                    if ("--check" in arguments) print(given) else serve(options, RouterSettings.callerInterface(given))
+                    if ("--check" in arguments) {
+                        print(given)
+                    } else {
+                        serve(options, RouterSettings.callerInterface(given)) {
+                            GivenSettings.read(RouterSettings.all, arguments, environment)
+                                .andThen { RouterSettings.options(it) }
+                        }
+                    }
                 },
                 failure = {
                     System.err.println("comfreypath router: $it")
@@ -57,16 +70,24 @@
         CallerInterface.PLATFORM -> WireFormats(PlatformCallerDialect(), PlatformEndpointDialect())
     }
 
-    private fun serve(options: RouterOptions, spoken: CallerInterface): Int {
+    private fun serve(
+        options: RouterOptions,
+        spoken: CallerInterface,
+        readAgain: () -> Result<RouterOptions, String>,
+    ): Int {
         val loop = eventLoops("router", 1).next()
         val router = Router(options, loop, formats(options, spoken), ::PlatformStore)
+        val file = System.getenv(GivenSettings.FILE_VARIABLE)?.let { File(it) }
+        val reloader = SettingsReloader(file, readAgain, ReloadActions(router::reload, router::rejectReload))
         val stopped = CountDownLatch(1)
         val hook = Thread {
             runBlocking { withContext(loop.dispatcher()) { router.stop() } }
             stopped.countDown()
         }
         return try {
+            reloader.installHandler(loop)
             runBlocking { withContext(loop.dispatcher()) { router.start() } }
+            CoroutineScope(loop.dispatcher()).launch { reloader.watchFile() }
             Runtime.getRuntime().addShutdownHook(hook)
             stopped.await()
             0
--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -53,6 +54,38 @@
         expectThat(seen("o1").single().request.headers.get(PlatformHeaders.TEAM)).isNull()
     }
 
+    @Test
+    fun `an engine sees the team's rank, or the route's if the team has none`() = PlatformFixture().run {
+        call(PlatformRequest("draft", "s1", tokens))
+        call(PlatformRequest("draft", "s2", tokens, key = "key-2", more = mapOf(PlatformHeaders.PRIORITY to "7")))
+        fleet.platform.configure { configuration ->
+            configuration.copy(routes = configuration.routes.map { it.copy(priority = 3) }.toImmutableList())
+        }
+        eventually("the route's new rank") {
+            val id = "s-${round++}"
+            call(PlatformRequest("draft", id, tokens, key = "key-2"))
+            seen(id).single().request.headers.get(PlatformHeaders.PRIORITY) == "3"
+        }
+        expectThat(seen("s1").single().request.headers.get(PlatformHeaders.PRIORITY)).isEqualTo("1")
+        expectThat(seen("s2").single().request.headers.get(PlatformHeaders.PRIORITY)).isEqualTo("1")
+    }
+
+    @Test
+    fun `answers, streams and refusals are counted and timed`() = PlatformFixture().run {
+        call(PlatformRequest("history", "h1"))
+        call(PlatformRequest("draft", "s1", tokens))
+        call(PlatformRequest("nowhere", "r1"))
+        setEngines(PlatformServerFaults(cutAfterEvents = 6))
+        call(PlatformRequest("draft", "s2", tokens))
+        val text = fleet.routers.single().router.routerMetrics.text().decodeToString()
+        expectThat(text)
+            .contains("comfreypath_answered_total{kind=\"idempotent\",status=\"200\"} 1.0")
+            .contains("comfreypath_answered_total{kind=\"streaming\",status=\"200\"} 1.0")
+            .contains("comfreypath_answered_total{kind=\"streaming\",status=\"broken_off\"} 1.0")
+            .contains("comfreypath_refused_total{code=\"unknown_route\"} 1.0")
+            .contains("comfreypath_latency_seconds_count{kind=\"streaming\"} 2")
+    }
+
     @Test
     fun `unknown routes and keys are told apart`() = PlatformFixture().run {
         expectThat(call(PlatformRequest("nowhere", "r1"))?.status).isEqualTo(404)
--- /dev/null
+++ b/daemon/src/test/kotlin/comfreypath/daemon/SettingsReloaderTest.kt
@@ -0,0 +1,107 @@
+package comfreypath.daemon
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import comfreypath.daemon.demo.PlatformRequest
+import comfreypath.daemon.settings.GivenSettings
+import comfreypath.daemon.settings.ReloadActions
+import comfreypath.daemon.settings.RouterSettings
+import comfreypath.daemon.settings.SettingsReloader
+import comfreypath.router.RouterOptions
+import comfreypath.standins.StoreFaults
+import comfreypath.transport.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import sun.misc.Signal
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.ConcurrentLinkedQueue
+
+class SettingsReloaderTest {
+    private val base = """
+        name=router-1
+        data-centre=dc-1
+        listen=127.0.0.1:8080
+        readiness-listen=127.0.0.1:8081
+        peer-listen=127.0.0.1:8082
+        metrics-listen=127.0.0.1:8083
+        object-store=127.0.0.1:9090
+    """.trimIndent()
+
+    private class Seen {
+        val applied = ConcurrentLinkedQueue<Pair<RouterOptions, String>>()
+        val rejected = ConcurrentLinkedQueue<String>()
+        val actions = ReloadActions(
+            apply = { options, cause -> applied += options to cause },
+            reject = { reason, _ -> rejected += reason },
+        )
+    }
+
+    private fun read(file: Path): Result<RouterOptions, String> =
+        GivenSettings.read(RouterSettings.all, emptyList(), mapOf(GivenSettings.FILE_VARIABLE to file.toString()))
+            .andThen { RouterSettings.options(it) }
+
+    private fun awaited(what: String, holds: () -> Boolean) = runBlocking {
+        var polls = 0
+        while (!holds()) {
+            polls += 1
+            check(polls < 250) { "$what did not come about" }
+            delay(20)
+        }
+    }
+
+    @Test
+    fun `SIGHUP reads the settings again and does not end the process`(@TempDir folder: Path) {
+        val file = Files.writeString(folder.resolve("router.properties"), "$base\nrevocation-bound=5s\n")
+        val seen = Seen()
+        SettingsReloader(file.toFile(), { read(file) }, seen.actions).installHandler { it.run() }
+        Files.writeString(file, "$base\nrevocation-bound=3s\n")
+        Signal.raise(Signal("HUP"))
+        awaited("a reload") { seen.applied.isNotEmpty() }
+        val (options, cause) = seen.applied.first()
+        expectThat(options.bounds.revocation).isEqualTo(Duration.ofSeconds(3))
+        expectThat(cause).isEqualTo("SIGHUP")
+    }
+
+    @Test
+    fun `a file that changes without a signal is read again, a wrong one is rejected`(@TempDir folder: Path) {
+        val file = Files.writeString(folder.resolve("router.properties"), base)
+        val seen = Seen()
+        val reloader = SettingsReloader(file.toFile(), { read(file) }, seen.actions, Duration.ofMillis(10))
+        val scope = CoroutineScope(Dispatchers.Default)
+        scope.launch { reloader.watchFile() }
+        Files.writeString(file, "$base\ngrace=soon\n")
+        awaited("a rejection") { seen.rejected.isNotEmpty() }
+        expectThat(seen.rejected.first()).contains("--grace").contains("soon")
+        Files.writeString(file, "$base\ngrace=4s\n")
+        awaited("a reload") { seen.applied.any { (options, _) -> options.timeouts.grace == Duration.ofSeconds(4) } }
+        scope.cancel()
+    }
+
+    @Test
+    fun `a router goes on with reloaded bounds, and says when a setting waits for a restart`() =
+        PlatformFixture().run {
+            val running = fleet.routers.single()
+            val shorter = running.options.copy(
+                bounds = running.options.bounds.copy(revocation = Duration.ofMillis(1_500)),
+                callerAddress = running.options.callerAddress.copy(port = 1),
+            )
+            withContext(running.loop.dispatcher()) { running.router.reload(shorter, "test") }
+            expectThat(call(PlatformRequest("history", "r1"))?.status).isEqualTo(200)
+            setStore(StoreFaults(outage = true))
+            delay(1_600)
+            expectThat(call(PlatformRequest("history", "r2"))?.status).isNotNull().isEqualTo(503)
+        }
+}
--- a/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
@@ -7,19 +7,23 @@
 import comfreypath.transport.HttpServerOptions
 
 /** The limits on what callers may send, as the configuration in force says. */
-internal class CallerServerOptions(connections: Int, private val view: ClusterView, dialect: CallerDialect) {
+internal class CallerServerOptions(
+    private val connections: () -> Int,
+    private val view: ClusterView,
+    dialect: CallerDialect,
+) {
     private val defaults = HttpServerOptions(
-        connections = connections,
         rejectionBody = { dialect.encode(Refusal(RefusalCode.BAD_INPUT, it.detail), null).body },
     )
 
     /** The limits for a connection that opens now. */
     fun current(): HttpServerOptions = view.configuration.current?.value?.limits?.let { limits ->
         defaults.copy(
+            connections = connections(),
             headerBytes = limits.headerBytes,
             bodyBytes = limits.bodyBytes,
             receiveTimeout = limits.headerTimeout,
             idleTimeout = limits.idleTimeout,
         )
-    } ?: defaults
+    } ?: defaults.copy(connections = connections())
 }
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -1,11 +1,13 @@
 package comfreypath.router
 
+import comfreypath.coordination.fleet.FleetOptions
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.StoreRelays
 import comfreypath.router.peers.BetterInformedPeer
 import comfreypath.router.peers.PeerCopies
 import comfreypath.router.peers.PeerLink
 import comfreypath.router.peers.Registration
+import comfreypath.router.request.LongestAges
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
@@ -13,6 +15,7 @@
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationSink
 import comfreypath.router.view.FollowerSupport
+import comfreypath.router.view.ProofSchedule
 import comfreypath.router.view.StoreFollower
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
@@ -28,7 +31,9 @@
     private val store: ObjectStore,
     private val view: ClusterView,
     private val peers: PeerLink,
+    private val ages: LongestAges,
 ) {
+    private val proofs = ProofSchedule(FleetOptions().shortestInterval)
     private val configurationSink = ConfigurationSink(context, view.configuration)
     private val betterInformed = BetterInformedPeer(view) { peers.live }
     private val registration = Registration(context, store)
@@ -56,11 +61,13 @@
 
     /** Proves that the configuration in force is the newest one. */
     val probe = ConfigurationProbe(
-        context,
-        store,
-        view.configuration,
-        configurationSink
-    ) { storeAnswered(afterOutage = false) }
+        context = context,
+        store = store,
+        view = view.configuration,
+        sink = configurationSink,
+        ages = { proofs.ages(ages.keys) },
+        answered = { storeAnswered(afterOutage = false) },
+    )
 
     /** Starts to learn what requests need. */
     fun startEssentials() {
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -60,8 +60,9 @@
 ) {
     private val clock = SteadyClock()
     private val log = EventLog(options.name, clock)
+    private val settings = CurrentOptions(options)
     private val context = RouterContext(
-        options = options,
+        settings = settings,
         loop = loop,
         clock = clock,
         log = log,
@@ -76,8 +77,8 @@
     private val ledger = EndpointLedger(context)
     private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
     private val peers = PeerLink(context, view, ledger, { ready })
-    private val knowledge = Knowledge(context, store, view, peers)
-    private val ages = LongestAges(options.bounds)
+    private val ages = LongestAges { context.options.bounds }
+    private val knowledge = Knowledge(context, store, view, peers, ages)
     private val claims = Claims(context, store)
     private val relay = ClaimedRelay(
         context,
@@ -96,7 +97,7 @@
     private val requests: RequestPipeline = RequestPipeline(context, formats.callers, view.configuration, stages())
     private val callers = HttpServer(
         loop,
-        CallerServerOptions(options.connections, view, formats.callers)::current,
+        CallerServerOptions({ context.options.connections }, view, formats.callers)::current,
         requests::handle,
     )
     private val pages = StatusPages(context) { ready }
@@ -114,7 +115,7 @@
             RouteFilter(view.configuration, knowledge.probe, ages, ::refuse)::filter,
             KeyFilter(view.configuration, knowledge.probe, ages, ::refuse)::filter,
         ),
-        AnswerStage(relay::run, ::refuse)::answer,
+        AnswerStage(context, relay::run, ::refuse)::answer,
     )
 
     private suspend fun refuse(exchange: CallerExchange, refusal: Refusal) = requests.refuse(exchange, refusal)
@@ -133,6 +134,24 @@
         log.record("started")
     }
 
+    /** Takes changed settings in, as far as they can change while the router runs; [cause] goes into the log. */
+    fun reload(next: RouterOptions, cause: String) {
+        val restartNeeded = settings.reload(next)
+        log.record(
+            "reloaded",
+            "cause" to cause,
+            "bounds" to context.options.bounds,
+            "timeouts" to context.options.timeouts,
+            "restartNeeded" to restartNeeded,
+        )
+    }
+
+    /** Notes that changed settings are wrong, so that the ones in force stay. */
+    fun rejectReload(
+        reason: String,
+        cause: String
+    ) = log.record("reload_rejected", "cause" to cause, "reason" to reason)
+
     private suspend fun sweep() {
         while (true) {
             delay(SWEEP_MILLISECONDS)
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -18,7 +18,7 @@
  * @property scope where work goes on that outlives the request that started it
  */
 data class RouterContext(
-    val options: RouterOptions,
+    private val settings: CurrentOptions,
     val loop: EventLoop,
     val clock: InstantSource,
     val log: EventLog,
@@ -26,6 +26,9 @@
     val monitor: InvariantMonitor,
     val tracing: Tracing,
 ) {
+    /** The settings in force. */
+    val options: RouterOptions get() = settings.value
+
     val scope = CoroutineScope(
         loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure ->
             log.record("task_failed", "error" to failure.toString())
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -17,9 +17,9 @@
  * @property denial for a route or a key to be denied; a newer configuration may have it
  * @property keys for a key to count; a newer configuration may have taken it away
  */
-class LongestAges(bounds: ServiceBounds) {
-    val denial: Duration = bounds.configuration.minusMillis(DENIAL_MARGIN_MILLISECONDS)
-    val keys: Duration = bounds.revocation.minusMillis(KEY_MARGIN_MILLISECONDS)
+class LongestAges(private val bounds: () -> ServiceBounds) {
+    val denial: Duration get() = bounds().configuration.minusMillis(DENIAL_MARGIN_MILLISECONDS)
+    val keys: Duration get() = bounds().revocation.minusMillis(KEY_MARGIN_MILLISECONDS)
 
     private companion object {
         const val DENIAL_MARGIN_MILLISECONDS = 300L
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -20,6 +20,11 @@
 private const val SILENCE_FACTOR = 3L
 private const val LEAST_SILENCE_MILLISECONDS = 1_000L
 
+private const val LEAST_URGENT = 9
+
+/** The ranks that engines know, the most urgent first. */
+private val URGENCIES = 0..LEAST_URGENT
+
 /**
  * What every attempt needs.
  *
@@ -44,6 +49,9 @@
     private var state = CourseState(route, exchange.deadline)
     private var stream: StreamRelay? = null
 
+    /** The silence after which an endpoint counts as stuck. */
+    private val silenceLimit: Duration = maxOf(LEAST_SILENCE, route.latencyTarget.multipliedBy(SILENCE_FACTOR))
+
     /** False once the caller has left, so that no further attempt is made. */
     var callerWaits = true
 
@@ -87,6 +95,10 @@
             "team" to exchange.team,
             "endpoint" to selection.endpoint.name,
             "load" to selection.load,
+            "candidates" to selection.basis.candidates,
+            "endpointsAgeMs" to selection.basis.endpointsAge?.toMillis(),
+            "configuration" to selection.basis.configuration,
+            "configurationAgeMs" to selection.basis.configurationAge?.toMillis(),
             "cacheSource" to selection.cacheSource?.name,
             "outcome" to outcome,
             "action" to action.javaClass.simpleName,
@@ -104,16 +116,13 @@
     /** True when the request may go on at another endpoint if this one falls silent. */
     private fun mayMove(): Boolean = route.repeatable && state.runs + 1 < route.maxAttempts
 
-    /** The silence after which an endpoint counts as stuck. */
-    private fun silenceLimit(): Duration = maxOf(LEAST_SILENCE, route.latencyTarget.multipliedBy(SILENCE_FACTOR))
-
     private suspend fun attempt(selection: Selection): Attempt {
-        val headDeadline = if (mayMove()) minOf(state.deadline, context.now() + silenceLimit()) else state.deadline
+        val headDeadline = if (mayMove()) minOf(state.deadline, context.now() + silenceLimit) else state.deadline
         val plan = SendPlan(
             endpoint = selection.endpoint,
             timeLeft = Duration.between(context.now(), state.deadline),
             team = exchange.team,
-            urgency = null,
+            urgency = exchange.priority.coerceIn(URGENCIES),
             resumeAfter = stream?.lastEvent ?: request.resumeAfter,
             cacheSource = selection.cacheSource,
             traceParent = exchange.traceParent,
@@ -124,6 +133,13 @@
         }
     }
 
+    private fun newStream(head: EndpointHead) = StreamRelay(
+        writer = exchange.writer,
+        head = head,
+        onStart = { exchange.firstByteAt = context.now() },
+        owns = { parts.owns(it, request) },
+    )
+
     /** A broken server may send bytes that look like a success. */
     private fun forged(sent: SendResult.Answering): Attempt {
         sent.exchange.close()
@@ -136,9 +152,9 @@
         try {
             val attempt = withTimeoutOrNull(Duration.between(context.now(), state.deadline).toMillis()) {
                 if (streams) {
-                    val relay = stream ?: StreamRelay(exchange.writer, sent.head) { parts.owns(it, request) }
+                    val relay = stream ?: newStream(sent.head)
                     stream = relay
-                    AnswerReader.pass(relay, sent, if (mayMove()) silenceLimit() else null)
+                    AnswerReader.pass(relay, sent, if (mayMove()) silenceLimit else null)
                 } else {
                     AnswerReader.read(selection.endpoint, sent)
                 }
--- a/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
@@ -23,6 +23,9 @@
     /** What the caller was refused; null if it was not. */
     var refusal: Refusal? = null
 
+    /** When the answer, or the first event of a stream, went to the caller; null before that. */
+    var firstByteAt: Instant? = null
+
     /** When the caller or the operator's timeout ends the wait. */
     val deadline: Instant
         get() = request.receivedAt + (request.patience?.coerceAtMost(route.timeout) ?: route.timeout)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -26,8 +26,24 @@
  *
  * @property load the requests that all routers are known to have there
  * @property cacheSource another endpoint that probably holds the cache of the prompt, to be fetched from there
+ * @property basis what the choice rests on
  */
-class Selection(val endpoint: Endpoint, val load: Int, val cacheSource: Endpoint?)
+class Selection(val endpoint: Endpoint, val load: Int, val cacheSource: Endpoint?, val basis: SelectionBasis)
+
+/**
+ * What the choice of an endpoint rests on, for the log.
+ *
+ * @property candidates the endpoints from which it was chosen
+ * @property endpointsAge how long ago the store last confirmed the list of endpoints
+ * @property configuration the version in force
+ * @property configurationAge how long ago that version was last known to be the newest one
+ */
+class SelectionBasis(
+    val candidates: Int,
+    val endpointsAge: Duration?,
+    val configuration: Long?,
+    val configurationAge: Duration?,
+)
 
 /** What a selector needs to know of the other routers. */
 interface OtherRouters {
@@ -57,20 +73,28 @@
         val candidates = candidates(registered, excluded, context.now())
         val shared = exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()
         return if (shared == null) {
-            Placement.byLoad(candidates, context.options.dataCentre, identity)?.let { selected(it, null) }
+            Placement.byLoad(candidates, context.options.dataCentre, identity)
+                ?.let { selected(it, null, candidates.size) }
         } else {
             Placement.byPrompt(candidates, shared.identity)?.let { chosen ->
                 val source = source(registered, chosen.endpoint, shared.identity)
                 memory.note(shared.identity, chosen.endpoint.name)
-                selected(chosen, source)
+                selected(chosen, source, candidates.size)
             }
         }
     }
 
-    private fun selected(candidate: Candidate, source: Endpoint?): Selection {
+    private fun selected(candidate: Candidate, source: Endpoint?, candidates: Int): Selection {
         val entry = ledger.entry(candidate.endpoint.name)
-        entry.coldBucket = entry.coldBucket?.take(context.now())
-        return Selection(candidate.endpoint, candidate.load, source)
+        val now = context.now()
+        entry.coldBucket = entry.coldBucket?.take(now)
+        val basis = SelectionBasis(
+            candidates = candidates,
+            endpointsAge = view.endpoints.entries.confirmedAt?.let { Duration.between(it, now) },
+            configuration = view.configuration.current?.value?.version,
+            configurationAge = view.configuration.age(),
+        )
+        return Selection(candidate.endpoint, candidate.load, source, basis)
     }
 
     private fun candidates(registered: List<Endpoint>, excluded: Set<EndpointName>, now: Instant): List<Candidate> {
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -27,11 +27,13 @@
  * Only whole events are passed on, so that a stream that breaks in the middle of an event can go on from the last
  * whole one. The head is written with the first event: until then nothing binds the caller to this endpoint.
  *
+ * @property onStart called when the first event goes to the caller
  * @property owns tells whether an event belongs to the caller's request; others are dropped
  */
 class StreamRelay(
     private val writer: ResponseWriter,
     private val head: EndpointHead,
+    private val onStart: () -> Unit,
     private val owns: (StreamEvent) -> Boolean,
 ) {
     /** The last event that was passed on; null before the first. */
@@ -84,6 +86,7 @@
     private suspend fun start() {
         if (!started) {
             started = true
+            onStart()
             writer.start(HttpResponseStatus.valueOf(head.status), head.forwarded)
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/sending/RetryLedger.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/RetryLedger.kt
@@ -11,7 +11,7 @@
  */
 class RetryLedger(private val context: RouterContext, private val routers: () -> Int) {
     private val allowances = HashMap<ServiceName, RetryAllowance>()
-    private val bounds = context.options.bounds.retries
+    private val bounds get() = context.options.bounds.retries
 
     private fun current(service: ServiceName): RetryAllowance =
         (allowances[service] ?: RetryAllowance()).at(context.now(), bounds, routers())
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -11,8 +11,6 @@
 import java.time.Duration
 
 private const val TICK_MILLISECONDS = 100L
-private const val AGE_MILLISECONDS = 2_400
-private const val AGE_SPREAD_MILLISECONDS = 1_200
 
 /**
  * Reads the configuration whenever the last proof that it is the newest one gets old.
@@ -25,6 +23,7 @@
     private val store: ObjectStore,
     private val view: ConfigurationView,
     private val sink: ConfigurationSink,
+    private val ages: () -> ProofAges,
     private val answered: () -> Unit,
 ) {
     private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
@@ -36,7 +35,9 @@
     fun start() {
         context.scope.launch {
             while (true) {
-                val longest = Duration.ofMillis(AGE_MILLISECONDS + random.nextInt(AGE_SPREAD_MILLISECONDS).toLong())
+                val range = ages()
+                val spread = range.longest.minus(range.shortest).toMillis()
+                val longest = range.shortest.plusMillis(random.nextLong(spread + 1))
                 while (fresh(longest)) {
                     delay(TICK_MILLISECONDS)
                 }
