Decide what a full service refuses, count requests from their choice on, and tell callers when to come back

Cause: nothing decided what to refuse when every endpoint is full, so that a surge of one team delayed all. A test of it showed that requests counted at an endpoint only once their connection was open: 32 at once all saw an idle endpoint. Change: OverloadPolicy (refused when every endpoint is full and the answer would come after the caller's patience, or the team has twice its equal part), WorkTimes, RetryAdvice, Ledgers; attempts count while they last.

--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/overload/Occupancy.kt
@@ -0,0 +1,18 @@
+package comfreypath.coordination.overload
+
+import java.time.Duration
+
+/**
+ * How full an endpoint is.
+ *
+ * @property load the requests that all routers are known to have there, running or waiting
+ * @property slots the requests that it works on at once
+ */
+data class Occupancy(val load: Int, val slots: Int) {
+    /** True while a request would start at once. */
+    val free: Boolean get() = load < slots
+
+    /** How long the next request waits for a slot when each request holds one for [holding]. */
+    fun expectedWait(holding: Duration): Duration =
+        if (free) Duration.ZERO else holding.multipliedBy((load - slots + 1).toLong()).dividedBy(slots.toLong())
+}
--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformPathTest.kt
@@ -8,6 +8,7 @@
 import comfreypath.standins.PlatformServerStandIn
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Test
@@ -18,9 +19,12 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.single
+import java.time.Duration
 
 class PlatformPathTest {
     private val tokens = "1612,70"
@@ -126,6 +130,27 @@
         expectThat(seen("b1")).all { get { run }.isFalse() }
     }
 
+    @Test
+    fun `a request that a full service can't answer in time is refused at once and never sent`() =
+        PlatformFixture().run {
+            setPlainServers(PlatformServerFaults(workMilliseconds = 300))
+            coroutineScope {
+                (1..12).map { async { call(PlatformRequest("book", "l$it", body = ByteArray(1))) } }.awaitAll()
+                val filling = (1..32).map { async { call(PlatformRequest("history", "f$it")) } }
+                delay(100)
+                val hurried = mapOf(PlatformHeaders.DEADLINE to "400")
+                val begun = System.nanoTime()
+                val refused = call(PlatformRequest("book", "b1", body = ByteArray(1), more = hurried))
+                expectThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(Duration.ofMillis(150))
+                expectThat(refused?.status).isEqualTo(503)
+                expectThat(refused?.headers?.get(PlatformHeaders.RETRY_AFTER)?.toDouble()).isNotNull()
+                    .isGreaterThan(0.0)
+                expectThat(seen("b1")).isEmpty()
+                expectThat(call(PlatformRequest("book", "b2", body = ByteArray(1)))?.status).isEqualTo(200)
+                expectThat(filling.awaitAll().map { it?.status }).all { isEqualTo(200) }
+            }
+        }
+
     @Test
     fun `a stream that may be resumed goes on at another engine from its last whole event`() = PlatformFixture().run {
         set(fleet.engines, PlatformServerFaults(cutAfterEvents = 6, halfEvent = true))
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -22,7 +22,9 @@
 import comfreypath.router.request.pipeline
 import comfreypath.router.sending.EndpointLedger
 import comfreypath.router.sending.EndpointSender
+import comfreypath.router.sending.Ledgers
 import comfreypath.router.sending.RetryLedger
+import comfreypath.router.sending.ServiceProgress
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.telemetry.EventLog
 import comfreypath.router.telemetry.OpenTelemetryTracing
@@ -75,6 +77,7 @@
     private val view = ClusterView(context)
     private val pool = ConnectionPool(connector, clock)
     private val ledger = EndpointLedger(context)
+    private val ledgers = Ledgers(ledger, RetryLedger(context) { livePeers + 1 }, ServiceProgress())
     private val sender = EndpointSender(context, pool, formats.endpoints, ledger)
     private val peers = PeerLink(context, view, ledger, { ready })
     private val ages = LongestAges { context.options.bounds }
@@ -86,10 +89,9 @@
         RequestRelay(
             RelayParts(
                 context = context,
-                selector = EndpointSelector(context, view, ledger, peers),
+                selector = EndpointSelector(context, view, ledgers, peers),
                 sender = sender,
-                ledger = ledger,
-                retries = RetryLedger(context) { peers.live.size + 1 },
+                ledgers = ledgers,
                 owns = formats.endpoints::owns,
             ),
         )::relay,
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -1,15 +1,17 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.overload.Admission
+import comfreypath.coordination.overload.RefusalReason
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.CourseAction
 import comfreypath.coordination.verdict.CourseState
 import comfreypath.coordination.verdict.RequestCourse
+import comfreypath.coordination.verdict.RetryAdvice
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.router.RouterContext
-import comfreypath.router.sending.EndpointLedger
 import comfreypath.router.sending.EndpointSender
-import comfreypath.router.sending.RetryLedger
+import comfreypath.router.sending.Ledgers
 import comfreypath.router.sending.SendResult
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.withTimeoutOrNull
@@ -34,8 +36,7 @@
     val context: RouterContext,
     val selector: EndpointSelector,
     val sender: EndpointSender,
-    val ledger: EndpointLedger,
-    val retries: RetryLedger,
+    val ledgers: Ledgers,
     val owns: (StreamEvent, CallerRequest) -> Boolean,
 )
 
@@ -59,8 +60,12 @@
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
         while (result == null) {
-            val selection = if (callerWaits) parts.selector.select(exchange, tried) else null
-            result = if (selection == null) ended(course.giveUp(state), null) else attemptAt(selection)
+            val choice = if (callerWaits) parts.selector.select(exchange, tried) else Choice.NoEndpoint
+            result = when (choice) {
+                is Choice.Chosen -> attemptAt(choice.selection)
+                is Choice.Full -> ended(course.giveUp(state), full = choice.refused)
+                Choice.NoEndpoint -> ended(course.giveUp(state))
+            }
         }
         return result
     }
@@ -68,10 +73,10 @@
     /** Makes one attempt; null when another one is to follow. */
     private suspend fun attemptAt(selection: Selection): RelayResult? {
         if (tried.isEmpty()) {
-            parts.retries.requested(selection.endpoint.service)
+            parts.ledgers.retries.requested(selection.endpoint.service)
         }
         tried += selection.endpoint.name
-        val attempt = attempt(selection)
+        val attempt = measured(selection)
         val wantsAnother = course.after(state, attempt.outcome, context.now(), mayRetry = true)
         val allowed = wantsAnother.second != CourseAction.TryAnother || mayRetry(selection, attempt.outcome)
         val (next, action) =
@@ -81,12 +86,35 @@
         return if (action == CourseAction.TryAnother) null else ended(action, attempt.result)
     }
 
+    /** Makes an attempt, counts it while it lasts, and notes how long it took unless it waited for a slot. */
+    private suspend fun measured(selection: Selection): Attempt {
+        val service = selection.endpoint.service
+        val entry = parts.ledgers.endpoints.entry(selection.endpoint.name)
+        val sentAt = context.now()
+        parts.ledgers.progress.begun(service, exchange.team)
+        entry.inFlight += 1
+        try {
+            val attempt = attempt(selection)
+            val answered = attempt.outcome is AttemptOutcome.Answered
+            if (answered && selection.load < selection.endpoint.slots) {
+                val now = context.now()
+                val held = Duration.between(sentAt, now)
+                val firstByte = exchange.firstByteAt?.let { Duration.between(sentAt, it) } ?: held
+                parts.ledgers.progress.took(service, route.name, firstByte, held)
+            }
+            return attempt
+        } finally {
+            entry.inFlight -= 1
+            parts.ledgers.progress.ended(service, exchange.team)
+        }
+    }
+
     /** What never reached a server does not count as a retry there. */
     private fun mayRetry(selection: Selection, outcome: AttemptOutcome): Boolean =
-        outcome is AttemptOutcome.NotSent || parts.retries.take(selection.endpoint.service)
+        outcome is AttemptOutcome.NotSent || parts.ledgers.retries.take(selection.endpoint.service)
 
     private fun record(selection: Selection, outcome: AttemptOutcome, action: CourseAction) {
-        parts.ledger.observe(selection.endpoint.name, outcome.evidence())
+        parts.ledgers.endpoints.observe(selection.endpoint.name, outcome.evidence())
         context.metrics.attempts.labelValues(outcome.javaClass.simpleName).inc()
         context.log.record(
             "attempt",
@@ -106,11 +134,16 @@
         )
     }
 
-    private fun ended(action: CourseAction, result: RelayResult?): RelayResult = when {
+    private fun ended(
+        action: CourseAction,
+        result: RelayResult? = null,
+        full: Admission.Refused? = null,
+    ): RelayResult = when {
         result != null && action == CourseAction.Deliver -> result
         stream?.started == true -> RelayResult.Streamed(complete = false)
         action == CourseAction.FailMayHaveRun -> RelayResult.Refused(RelayRefusals.mayHaveRun(state))
-        else -> RelayResult.Refused(RelayRefusals.notRun(state, context.now()))
+        full != null -> RelayResult.Refused(RelayRefusals.full(full))
+        else -> RelayResult.Refused(RelayRefusals.notRun(state, context.now(), request.spread))
     }
 
     /** True when the request may go on at another endpoint if this one falls silent. */
@@ -129,7 +162,13 @@
         )
         return when (val sent = parts.sender.send(request, plan, route.repeatable, headDeadline)) {
             is SendResult.Failed -> Attempt(sent.outcome)
-            is SendResult.Answering -> if (sent.head.genuine) answered(selection, sent) else forged(sent)
+            is SendResult.Answering -> if (sent.head.genuine) {
+                answered(selection, sent)
+            } else {
+                // A broken server may send bytes that look like a success.
+                sent.exchange.close()
+                Attempt(AttemptOutcome.Unknown(UnknownReason.MALFORMED))
+            }
         }
     }
 
@@ -140,12 +179,6 @@
         owns = { parts.owns(it, request) },
     )
 
-    /** A broken server may send bytes that look like a success. */
-    private fun forged(sent: SendResult.Answering): Attempt {
-        sent.exchange.close()
-        return Attempt(AttemptOutcome.Unknown(UnknownReason.MALFORMED))
-    }
-
     private suspend fun answered(selection: Selection, sent: SendResult.Answering): Attempt {
         val streams = route.streaming && sent.head.status == HttpResponseStatus.OK.code()
         var complete = false
@@ -174,8 +207,6 @@
 
 /** What callers are told when no endpoint's answer is theirs. */
 internal object RelayRefusals {
-    private const val RETRY_MILLISECONDS = 300L
-
     /** The request may have run. */
     fun mayHaveRun(state: CourseState): Refusal {
         val last = state.last
@@ -187,12 +218,23 @@
         }
     }
 
+    /** The service is full; the request has not run and will not. */
+    fun full(refused: Admission.Refused): Refusal {
+        val detail = when (refused.reason) {
+            RefusalReason.TOO_LATE -> "every endpoint is full, and none would be free in time"
+            RefusalReason.OVER_SHARE -> "every endpoint is full, and the team has more than its share in progress"
+        }
+        return Refusal(RefusalCode.OVERLOADED, detail, refused.retryAfter)
+    }
+
     /** The request has not run and will not. */
-    fun notRun(state: CourseState, now: Instant): Refusal {
-        val after = Duration.ofMillis(RETRY_MILLISECONDS)
+    fun notRun(state: CourseState, now: Instant, spread: Double): Refusal {
+        val after = RetryAdvice.after(state.last, Duration.between(now, state.deadline), spread)
         return when {
             now >= state.deadline -> Refusal(RefusalCode.EXPIRED, "no endpoint took the request in time")
             state.refusals == 0 -> Refusal(RefusalCode.NO_ENDPOINT, "no endpoint can take the request", after)
+            state.last is AttemptOutcome.NotSent ->
+                Refusal(RefusalCode.NO_ENDPOINT, "no endpoint that was tried could be reached", after)
             else -> Refusal(RefusalCode.OVERLOADED, "every endpoint that was asked refused the request", after)
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/request/CallerRequest.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerRequest.kt
@@ -1,6 +1,9 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.model.RequestId
+import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.mix
+import comfreypath.coordination.placement.unitInterval
 import comfreypath.coordination.routing.Prompt
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
@@ -35,7 +38,14 @@
     val receivedAt: Instant,
     val idempotencyKey: String? = null,
     val fault: Refusal? = null,
-)
+) {
+    /** From 0 to 1, different for each request, to keep those apart that are treated alike at one moment. */
+    val spread: Double get() = unitInterval(mix(hashOf(id.text), SPREAD_SALT))
+
+    private companion object {
+        const val SPREAD_SALT = 0x737072656164L
+    }
+}
 
 /** The host and the path, without its query, by which a route is found. */
 data class RouteAddress(val host: String, val path: String)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -5,6 +5,11 @@
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.overload.Admission
+import comfreypath.coordination.overload.Occupancy
+import comfreypath.coordination.overload.OverloadPolicy
+import comfreypath.coordination.overload.StreamPatience
+import comfreypath.coordination.overload.WaitingRequest
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.Placement
 import comfreypath.coordination.placement.PromptMemory
@@ -14,7 +19,7 @@
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.Route
 import comfreypath.router.RouterContext
-import comfreypath.router.sending.EndpointLedger
+import comfreypath.router.sending.Ledgers
 import comfreypath.router.view.ClusterView
 import java.time.Duration
 import java.time.Instant
@@ -30,6 +35,18 @@
  */
 class Selection(val endpoint: Endpoint, val load: Int, val cacheSource: Endpoint?, val basis: SelectionBasis)
 
+/** What a selector decided for an attempt. */
+sealed interface Choice {
+    /** The attempt goes to an endpoint. */
+    class Chosen(val selection: Selection) : Choice
+
+    /** No endpoint can take the request. */
+    data object NoEndpoint : Choice
+
+    /** The service is full, and the request is refused. */
+    class Full(val refused: Admission.Refused) : Choice
+}
+
 /**
  * What the choice of an endpoint rests on, for the log.
  *
@@ -58,19 +75,55 @@
 class EndpointSelector(
     private val context: RouterContext,
     private val view: ClusterView,
-    private val ledger: EndpointLedger,
+    private val ledgers: Ledgers,
     private val others: OtherRouters,
 ) {
     private val memory = PromptMemory()
     private val cold = ColdAdmission()
+    private val overload = OverloadPolicy()
     private val stuckLimit = Duration.ofMillis(STUCK_MILLISECONDS)
 
-    /** The endpoint for the next attempt, or null when none can take the request. */
-    fun select(exchange: CallerExchange, excluded: Set<EndpointName>): Selection? {
+    /** Chooses the endpoint for the next attempt of a request. */
+    fun select(exchange: CallerExchange, excluded: Set<EndpointName>): Choice {
         val identity = hashOf(exchange.request.id.text)
         val service = serviceFor(exchange.route, identity)
         val registered = service?.let { view.endpoints.of(it) }.orEmpty()
         val candidates = candidates(registered, excluded, context.now())
+        val admission = service?.let { admission(exchange, it, candidates) }
+        return if (admission is Admission.Refused) {
+            Choice.Full(admission)
+        } else {
+            place(exchange, registered, candidates, identity)?.let { Choice.Chosen(it) } ?: Choice.NoEndpoint
+        }
+    }
+
+    private fun admission(
+        exchange: CallerExchange,
+        service: ServiceName,
+        candidates: List<Candidate>,
+    ): Admission {
+        val now = context.now()
+        val route = exchange.route
+        val left = Duration.between(now, exchange.deadline)
+        val firstEventLeft = Duration.between(now, exchange.request.receivedAt + StreamPatience.of(route))
+        return overload.admit(
+            request = WaitingRequest(
+                team = exchange.team,
+                patience = if (route.streaming) minOf(left, firstEventLeft) else left,
+                spread = exchange.request.spread,
+            ),
+            endpoints = candidates.map { Occupancy(it.load, it.endpoint.slots) },
+            times = ledgers.progress.times(service, route.name),
+            inProgress = ledgers.progress.byTeam(service),
+        )
+    }
+
+    private fun place(
+        exchange: CallerExchange,
+        registered: List<Endpoint>,
+        candidates: List<Candidate>,
+        identity: Long,
+    ): Selection? {
         val shared = exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()
         return if (shared == null) {
             Placement.byLoad(candidates, context.options.dataCentre, identity)
@@ -85,7 +138,7 @@
     }
 
     private fun selected(candidate: Candidate, source: Endpoint?, candidates: Int): Selection {
-        val entry = ledger.entry(candidate.endpoint.name)
+        val entry = ledgers.endpoints.entry(candidate.endpoint.name)
         val now = context.now()
         entry.coldBucket = entry.coldBucket?.take(now)
         val basis = SelectionBasis(
@@ -99,9 +152,9 @@
 
     private fun candidates(registered: List<Endpoint>, excluded: Set<EndpointName>, now: Instant): List<Candidate> {
         val eligible = registered.filter { it.name !in excluded && takesWork(it) && admitsWhileCold(it, now) }
-        val moving = eligible.filterNot { ledger.entry(it.name).stuck(now, stuckLimit) }.ifEmpty { eligible }
-        return HealthyChoice.among(moving, now) { ledger.entry(it.name).health }.map { endpoint ->
-            val entry = ledger.entry(endpoint.name)
+        val moving = eligible.filterNot { ledgers.endpoints.entry(it.name).stuck(now, stuckLimit) }.ifEmpty { eligible }
+        return HealthyChoice.among(moving, now) { ledgers.endpoints.entry(it.name).health }.map { endpoint ->
+            val entry = ledgers.endpoints.entry(endpoint.name)
             Candidate(endpoint, entry.hash, entry.inFlight + others.inFlight(endpoint.name))
         }
     }
@@ -112,7 +165,7 @@
     /** True unless the endpoint is cold and other routers send to it, or it has had enough for now. */
     private fun admitsWhileCold(endpoint: Endpoint, now: Instant): Boolean {
         val rate = view.configuration.current?.value?.services?.get(endpoint.service)?.coldRequestsPerSecond ?: 0.0
-        val entry = ledger.entry(endpoint.name)
+        val entry = ledgers.endpoints.entry(endpoint.name)
         val limited = rate > 0.0 && view.endpoints.cold(endpoint, now)
         entry.coldBucket = if (limited) {
             val own = cold.rate(endpoint.name, rate, context.options.name, others.names)
@@ -127,8 +180,8 @@
     private fun source(registered: List<Endpoint>, chosen: Endpoint, part: Long): Endpoint? {
         val now = context.now()
         val holders = memory.holders(part)
-        val home = registered.filter { ledger.entry(it.name).settled(now) }
-            .maxByOrNull { mix(part, ledger.entry(it.name).hash) }
+        val home = registered.filter { ledgers.endpoints.entry(it.name).settled(now) }
+            .maxByOrNull { mix(part, ledgers.endpoints.entry(it.name).hash) }
         val held = chosen.name in holders || chosen.name == home?.name
         return if (held) {
             null
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -14,17 +14,9 @@
 private const val USED_REST_SHARE = 0.66
 
 /** One request at an endpoint, from its sending to the end of its answer. */
-class EndpointExchange(
-    private val pool: ConnectionPool,
-    private val connection: HttpConnection,
-    private val entry: EndpointEntry,
-) {
+class EndpointExchange(private val pool: ConnectionPool, private val connection: HttpConnection) {
     private var open = true
 
-    init {
-        entry.inFlight += 1
-    }
-
     /** Waits for the next part of the answer. */
     suspend fun next(): ResponsePart = connection.next()
 
@@ -45,10 +37,7 @@
 
     private fun end(): Boolean {
         val ended = open
-        if (open) {
-            open = false
-            entry.inFlight -= 1
-        }
+        open = false
         return ended
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
@@ -57,7 +57,7 @@
  * @property knownSince when the router first met it
  */
 class EndpointEntry(val hash: Long, private val knownSince: Instant) {
-    /** The requests of this router that the endpoint has. */
+    /** The requests of this router that the endpoint has or is about to get. */
     var inFlight: Int = 0
 
     /** What the router has seen of it. */
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -61,7 +61,7 @@
         deadline: Instant,
     ): SendResult {
         val entry = ledger.entry(plan.endpoint.name)
-        val exchange = EndpointExchange(pool, connection, entry)
+        val exchange = EndpointExchange(pool, connection)
         val span = context.tracing.start("endpoint", plan.traceParent)
         val head = dialect.encode(request, plan)
         span.traceParent?.let { head.headers.set(TRACE_PARENT, it) }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -25,6 +25,7 @@
  * @property cutAfterEvents breaks each stream off after so many events; null for never
  * @property cutAnswers runs whole requests and closes the connection without an answer
  * @property unsigned leaves out the signature of answers
+ * @property workMilliseconds how long a plain server works on a request; null for its usual time
  * @property halfEvent breaks streams off in the middle of the next event
  */
 data class PlatformServerFaults(
@@ -35,6 +36,7 @@
     val cutAnswers: Boolean = false,
     val halfEvent: Boolean = false,
     val unsigned: Boolean = false,
+    val workMilliseconds: Long? = null,
 )
 
 /** A request as a server stand-in saw it. */
@@ -117,7 +119,7 @@
     }
 
     private suspend fun answer(id: String, headers: Map<String, String>, writer: ResponseWriter) {
-        delay(workMilliseconds)
+        delay(faults.workMilliseconds ?: workMilliseconds)
         if (faults.cutAnswers) writer.abort() else writer.whole(HttpResponseStatus.OK, headers, body(id))
     }
 
