--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/RequestCourse.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/RequestCourse.kt
@@ -20,7 +20,10 @@
     val runs: Int = 0,
     val refusals: Int = 0,
     val last: AttemptOutcome? = null,
-)
+) {
+    /** True when the request may go on at another endpoint if the one that runs it falls silent. */
+    val mayMove: Boolean get() = route.repeatable && runs + 1 < route.maxAttempts
+}
 
 /** What is to be done with a request next. */
 sealed interface CourseAction {
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -15,6 +15,7 @@
 import comfreypath.router.request.KeyFilter
 import comfreypath.router.request.LongestAges
 import comfreypath.router.request.Refusal
+import comfreypath.router.request.RelayInvariants
 import comfreypath.router.request.RelayParts
 import comfreypath.router.request.RequestPipeline
 import comfreypath.router.request.RequestRelay
@@ -92,6 +93,7 @@
                 selector = EndpointSelector(context, view, ledgers, peers),
                 sender = sender,
                 ledgers = ledgers,
+                invariants = RelayInvariants(context, view),
                 owns = formats.endpoints::owns,
             ),
         )::relay,
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -37,6 +37,7 @@
     val selector: EndpointSelector,
     val sender: EndpointSender,
     val ledgers: Ledgers,
+    val invariants: RelayInvariants,
     val owns: (StreamEvent, CallerRequest) -> Boolean,
 )
 
@@ -141,16 +142,19 @@
     ): RelayResult = when {
         result != null && action == CourseAction.Deliver -> result
         stream?.started == true -> RelayResult.Streamed(complete = false)
-        action == CourseAction.FailMayHaveRun -> RelayResult.Refused(RelayRefusals.mayHaveRun(state))
-        full != null -> RelayResult.Refused(RelayRefusals.full(full))
-        else -> RelayResult.Refused(RelayRefusals.notRun(state, context.now(), request.spread))
+        action == CourseAction.FailMayHaveRun -> refused(RelayRefusals.mayHaveRun(state))
+        full != null -> refused(RelayRefusals.full(full))
+        else -> refused(RelayRefusals.notRun(state, context.now(), request.spread))
     }
 
-    /** True when the request may go on at another endpoint if this one falls silent. */
-    private fun mayMove(): Boolean = route.repeatable && state.runs + 1 < route.maxAttempts
+    private fun refused(refusal: Refusal): RelayResult {
+        parts.invariants.refused(request, state, refusal)
+        return RelayResult.Refused(refusal)
+    }
 
     private suspend fun attempt(selection: Selection): Attempt {
-        val headDeadline = if (mayMove()) minOf(state.deadline, context.now() + silenceLimit) else state.deadline
+        parts.invariants.sending(request, state, selection.endpoint)
+        val headDeadline = if (state.mayMove) minOf(state.deadline, context.now() + silenceLimit) else state.deadline
         val plan = SendPlan(
             endpoint = selection.endpoint,
             timeLeft = Duration.between(context.now(), state.deadline),
@@ -180,6 +184,7 @@
     )
 
     private suspend fun answered(selection: Selection, sent: SendResult.Answering): Attempt {
+        parts.invariants.answered(request, sent.head)
         val streams = route.streaming && sent.head.status == HttpResponseStatus.OK.code()
         var complete = false
         try {
@@ -187,7 +192,7 @@
                 if (streams) {
                     val relay = stream ?: newStream(sent.head)
                     stream = relay
-                    AnswerReader.pass(relay, sent, if (mayMove()) silenceLimit else null)
+                    AnswerReader.pass(relay, sent, if (state.mayMove) silenceLimit else null)
                 } else {
                     AnswerReader.read(selection.endpoint, sent)
                 }
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -6,6 +6,7 @@
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.CancellationException
 import java.time.Duration
 
 /** The path of a caller's request: reading it, the filters, and the relay to an endpoint. */
@@ -40,6 +41,15 @@
         exchange.traceParent = span.traceParent
         try {
             stages(exchange)
+        } catch (left: CancellationException) {
+            context.log.record(
+                "caller_left",
+                "request" to exchange.request.id,
+                "team" to exchange.team,
+                "waitedMs" to Duration.between(exchange.request.receivedAt, context.now()).toMillis(),
+                "answerBegun" to (exchange.firstByteAt != null),
+            )
+            throw left
         } finally {
             span.end(succeeded = exchange.writer.started && exchange.refusal == null)
         }
--- /dev/null
+++ b/router/src/test/kotlin/comfreypath/router/request/RelayInvariantsTest.kt
@@ -0,0 +1,149 @@
+package comfreypath.router.request
+
+import comfreypath.coordination.invariant.Invariant
+import comfreypath.coordination.invariant.InvariantMonitor
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.model.RequestId
+import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.model.VersionName
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.Route
+import comfreypath.coordination.routing.RouteKind
+import comfreypath.coordination.verdict.CourseState
+import comfreypath.router.CurrentOptions
+import comfreypath.router.RouterContext
+import comfreypath.router.RouterOptions
+import comfreypath.router.SteadyClock
+import comfreypath.router.telemetry.EventLog
+import comfreypath.router.telemetry.RouterMetrics
+import comfreypath.router.telemetry.Tracing
+import comfreypath.router.view.ClusterView
+import comfreypath.transport.Address
+import comfreypath.transport.eventLoops
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.time.Duration
+import java.time.Instant
+
+class RelayInvariantsTest {
+    private val nowhere = Address("127.0.0.1", 0)
+    private val clock = SteadyClock()
+    private val monitor = InvariantMonitor()
+    private val options = RouterOptions(
+        name = InstanceName("router-1"),
+        dataCentre = DataCentreName("south"),
+        callerAddress = nowhere,
+        readinessAddress = nowhere,
+        peerAddress = nowhere,
+        metricsAddress = nowhere,
+        objectStore = nowhere,
+    )
+    private val context = RouterContext(
+        settings = CurrentOptions(options),
+        loop = eventLoops("test", 1).next(),
+        clock = clock,
+        log = EventLog(options.name, clock),
+        metrics = RouterMetrics(),
+        monitor = monitor,
+        tracing = Tracing.NONE,
+    )
+    private val view = ClusterView(context)
+    private val invariants = RelayInvariants(context, view)
+    private val endpoint = Endpoint(
+        name = EndpointName("engine-1"),
+        service = ServiceName("model"),
+        host = "127.0.0.1",
+        port = 1,
+        dataCentre = DataCentreName("south"),
+        version = VersionName("v1"),
+        slots = 1,
+        draining = false,
+        coldMilliseconds = 0,
+        startedAt = null,
+    )
+    private val request = CallerRequest(
+        id = RequestId("r1"),
+        address = RouteAddress("host", "/"),
+        method = HttpMethod.GET,
+        uri = "/",
+        forwarded = DefaultHttpHeaders(),
+        body = ByteArray(0),
+        patience = null,
+        apiKey = null,
+        prompt = null,
+        resumeAfter = null,
+        receivedAt = Instant.EPOCH,
+    )
+
+    private fun state(kind: RouteKind, runs: Int) = CourseState(
+        Route(
+            name = "route",
+            host = "host",
+            pathPrefix = "/",
+            kind = kind,
+            timeout = Duration.ofSeconds(1),
+            latencyTarget = Duration.ofSeconds(1),
+            gapTarget = null,
+            priority = 0,
+            destinations = persistentListOf(),
+            maxAttempts = 2,
+            public = true,
+            cacheAffinity = false,
+            resumable = false,
+        ),
+        deadline = Instant.EPOCH,
+        runs = runs,
+    )
+
+    @Test
+    fun `a request that may have run is not sent again unless it may be repeated`() {
+        invariants.sending(request, state(RouteKind.IDEMPOTENT, runs = 1), endpoint)
+        expectThat(monitor.total).isEqualTo(0)
+        invariants.sending(request, state(RouteKind.NON_IDEMPOTENT, runs = 1), endpoint)
+        expectThat(monitor.count(Invariant.AT_MOST_ONCE)).isEqualTo(1)
+    }
+
+    @Test
+    fun `nothing is sent to an endpoint that leaves or whose data centre is out`() {
+        val fresh = state(RouteKind.IDEMPOTENT, runs = 0)
+        invariants.sending(request, fresh, endpoint.copy(draining = true))
+        expectThat(monitor.count(Invariant.ENDPOINT_LEAVING)).isEqualTo(1)
+        expectThat(monitor.count(Invariant.DATA_CENTRE_OUT)).isEqualTo(0)
+    }
+
+    @Test
+    fun `a request that may have run is not refused as not run`() {
+        val ran = state(RouteKind.NON_IDEMPOTENT, runs = 1)
+        invariants.refused(request, ran, Refusal(RefusalCode.ANSWER_LOST, "lost"))
+        expectThat(monitor.total).isEqualTo(0)
+        invariants.refused(request, ran, Refusal(RefusalCode.OVERLOADED, "full"))
+        expectThat(monitor.count(Invariant.NOT_RUN_IS_TRUE)).isEqualTo(1)
+    }
+
+    @Test
+    fun `an answer goes to the caller of its own request`() {
+        val head = EndpointHead(
+            status = 200,
+            genuine = true,
+            request = RequestId("r2"),
+            notRun = false,
+            wrongEndpoint = false,
+            endpoint = null,
+            load = null,
+            idleTimeout = null,
+            retryAfter = null,
+            contentLength = null,
+            forwarded = DefaultHttpHeaders(),
+        )
+        invariants.answered(request, head)
+        expectThat(monitor.count(Invariant.OWN_ANSWER)).isEqualTo(1)
+        invariants.answered(request, head.copy(request = request.id))
+        expectThat(monitor.total).isEqualTo(1)
+    }
+}
