Write statuses in fewer bytes, and place in one pass

Change: requests in flight are keyed by short hashes, numbers are written in base 36 (CompactTexts); Placement keeps the best candidate in one pass; the overload decision stops at the first free slot.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -2,14 +2,8 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.descriptors.PrimitiveKind
-import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
-import kotlinx.serialization.encoding.Decoder
-import kotlinx.serialization.encoding.Encoder
 
 /**
  * What one router tells another at short intervals. The serial names are short because there are many.
@@ -23,7 +17,7 @@
  * @property storeAnsweredMilliseconds how long ago the store answered the sender; null if it never did
  * @property configuration what the sender knows of the configuration; null if it knows none
  * @property digests what the sender knows of the other kinds of object, by the kind's code
- * @property inFlight the sender's requests at each endpoint where it has some, by the endpoint's name
+ * @property inFlight the sender's requests at each endpoint where it has some
  */
 @Serializable
 data class PeerStatus(
@@ -36,7 +30,7 @@
     @SerialName("s") val storeAnsweredMilliseconds: Long? = null,
     @SerialName("c") val configuration: ConfigurationProof? = null,
     @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
-    @SerialName("f") val inFlight: Map<String, Int> = emptyMap(),
+    @SerialName("f") val inFlight: InFlight = InFlight(),
 )
 
 /**
@@ -45,8 +39,8 @@
  * @property incarnation differs for each start of a process
  * @property milliseconds on the process's steady clock
  */
-@Serializable
-data class StatusStamp(@SerialName("i") val incarnation: Int, @SerialName("m") val milliseconds: Long)
+@Serializable(with = StatusStampSerializer::class)
+data class StatusStamp(val incarnation: Int, val milliseconds: Long)
 
 /**
  * That a configuration was the newest one a while ago.
@@ -64,23 +58,3 @@
  */
 @Serializable(with = KindDigestSerializer::class)
 data class KindDigest(val revision: Long, val hash: Int)
-
-/** Writes a digest as one short text. */
-internal object KindDigestSerializer : KSerializer<KindDigest> {
-    private const val BASE = 36
-
-    override val descriptor = PrimitiveSerialDescriptor("KindDigest", PrimitiveKind.STRING)
-
-    override fun serialize(encoder: Encoder, value: KindDigest) =
-        encoder.encodeString("${value.revision}:${value.hash.toString(BASE)}")
-
-    override fun deserialize(decoder: Decoder): KindDigest {
-        val text = decoder.decodeString()
-        val revision = text.substringBefore(':').toLongOrNull()
-        val hash = text.substringAfter(':', "").toIntOrNull(BASE)
-        if (revision == null || hash == null) {
-            throw SerializationException("a digest has the form REVISION:HASH")
-        }
-        return KindDigest(revision, hash)
-    }
-}
--- a/coordination/src/main/kotlin/comfreypath/coordination/overload/OverloadPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/overload/OverloadPolicy.kt
@@ -40,12 +40,12 @@
     /** Decides on [request]; [inProgress] holds this router's requests at the service by team. */
     fun admit(
         request: WaitingRequest,
-        endpoints: List<Occupancy>,
+        endpoints: Sequence<Occupancy>,
         times: ExpectedTimes,
         inProgress: Map<TeamName, Int>,
     ): Admission {
         val holding = times.holding
-        if (endpoints.isEmpty() || endpoints.any { it.free } || holding == null) {
+        if (holding == null || endpoints.none() || endpoints.any { it.free }) {
             return Admission.Admitted
         }
         val wait = endpoints.minOf { it.expectedWait(holding) }
--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -28,9 +28,22 @@
             return null
         }
         val mean = candidates.sumOf { it.load }.toDouble() / candidates.size
-        val bound = BOUND_FACTOR * mean + BOUND_SLACK
-        return candidates.filter { it.load + 1 <= bound }.maxByOrNull { mix(key, it.hash) }
-            ?: candidates.minByOrNull { it.load }
+        val bound = (BOUND_FACTOR * mean + BOUND_SLACK).toInt()
+        return firstWithin(bound, candidates, key) ?: candidates.minByOrNull { it.load }
+    }
+
+    /** The first in the order of [key] whose load stays within [bound]; in one pass, since there may be thousands. */
+    private fun firstWithin(bound: Int, candidates: List<Candidate>, key: Long): Candidate? {
+        var best: Candidate? = null
+        var bestRank = Long.MIN_VALUE
+        for (candidate in candidates) {
+            val rank = mix(key, candidate.hash)
+            if (rank >= bestRank && candidate.load < bound) {
+                best = candidate
+                bestRank = rank
+            }
+        }
+        return best
     }
 
     /** The endpoint for a request that any endpoint serves alike: one near with free slots, else the least loaded. */
--- a/coordination/src/test/kotlin/comfreypath/coordination/overload/OverloadPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/overload/OverloadPolicyTest.kt
@@ -15,7 +15,7 @@
     private val policy = OverloadPolicy()
     private val holding = Duration.ofMillis(60)
     private val times = ExpectedTimes(holding = holding, answering = holding)
-    private val full = List(3) { Occupancy(load = 6, slots = 6) }
+    private val full = sequenceOf(1, 2, 3).map { Occupancy(load = 6, slots = 6) }
 
     private fun request(patience: Long, team: String = "team-1", spread: Double = 0.5) =
         WaitingRequest(TeamName(team), Duration.ofMillis(patience), spread)
@@ -35,7 +35,7 @@
 
     @Test
     fun `a request that could not be answered in its patience is refused, with the time until it could be`() {
-        val queued = List(3) { Occupancy(load = 30, slots = 6) }
+        val queued = sequenceOf(1, 2, 3).map { Occupancy(load = 30, slots = 6) }
         val refused = policy.admit(request(patience = 200, spread = 0.0), queued, times, emptyMap())
         expectThat(refused).isA<Admission.Refused>().get { reason }.isEqualTo(RefusalReason.TOO_LATE)
         // 25 requests stand before it for 6 slots of 60 ms: 250 ms, 60 ms for itself, and 30 ms to spare.
@@ -45,7 +45,7 @@
 
     @Test
     fun `those that are refused together come back apart`() {
-        val queued = List(3) { Occupancy(load = 60, slots = 6) }
+        val queued = sequenceOf(1, 2, 3).map { Occupancy(load = 60, slots = 6) }
         val retries = (0..10).map { policy.admit(request(100, spread = it / 10.0), queued, times, emptyMap()) }
             .map { (it as Admission.Refused).retryAfter }
         expectThat(retries.last() - retries.first()).isEqualTo(holding)
--- a/coordination/src/test/kotlin/comfreypath/coordination/overload/SurgeReplay.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/overload/SurgeReplay.kt
@@ -69,7 +69,7 @@
         val least = servers.minBy { it.load }
         val admission = policy?.admit(
             WaitingRequest(name(job.team), Duration.ofMillis(patience.toLong()), random.nextDouble()),
-            servers.map { Occupancy(it.load, SLOTS) },
+            servers.asSequence().map { Occupancy(it.load, SLOTS) },
             ExpectedTimes(MEAN, MEAN),
             inProgress,
         ) ?: Admission.Admitted
--- a/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
+++ b/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
@@ -6,11 +6,13 @@
 import comfreypath.coordination.fleet.FleetEvent
 import comfreypath.coordination.fleet.FleetOptions
 import comfreypath.coordination.fleet.FleetState
+import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
 import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.measure.fake.Simulation
 import kotlinx.serialization.json.Json
@@ -80,7 +82,7 @@
         ready = true,
         configuration = ConfigurationProof(version = CONFIGURATIONS_A_DAY, ageMilliseconds = 1_000),
         digests = (1..DIGESTS).associate { "kind-$it" to KindDigest(revision = 1_000_000, hash = Int.MAX_VALUE) },
-        inFlight = (1..IN_FLIGHT_ENTRIES).associate { "i-10fd17e05d$it" to 1 },
+        inFlight = InFlight((1..IN_FLIGHT_ENTRIES).associate { InFlight.key(EndpointName("i-10fd17e05d$it")) to 2 }),
     )
 
     private fun step(address: PeerAddress, event: FleetEvent) {
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -7,13 +7,13 @@
 import comfreypath.coordination.fleet.FleetEvent
 import comfreypath.coordination.fleet.FleetOptions
 import comfreypath.coordination.fleet.FleetState
+import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.fleet.Peer
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
 import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.router.RouterContext
 import comfreypath.router.request.OtherRouters
@@ -50,7 +50,7 @@
             .map { PeerAddress(InstanceName(it.toString()), it.host, it.port, DataCentreName("")) }
             .toImmutableList(),
     )
-    private var elsewhere: Map<String, Int> = emptyMap()
+    private var elsewhere: Map<Int, Int> = emptyMap()
     private var liveNames: Set<InstanceName> = emptySet()
 
     /** The peers whose statuses arrive. */
@@ -101,7 +101,7 @@
 
     override val names: Collection<InstanceName> get() = liveNames
 
-    override fun inFlight(endpoint: EndpointName): Int = elsewhere[endpoint.text] ?: 0
+    override fun inFlight(nameHash: Long): Int = elsewhere[InFlight.key(nameHash)] ?: 0
 
     private fun status(): PeerStatus {
         val now = context.now()
@@ -116,7 +116,7 @@
                 ConfigurationProof(it.value.version, it.age(now).toMillis() + 1)
             },
             digests = view.digests(),
-            inFlight = ledger.inFlight().mapKeys { it.key.text },
+            inFlight = ledger.inFlight(),
         )
     }
 
@@ -163,8 +163,10 @@
         (names - liveNames).forEach { context.log.record("peer_heard", "peer" to it) }
         (liveNames - names).forEach { context.log.record("peer_lost", "peer" to it) }
         liveNames = names
-        val sums = HashMap<String, Int>()
-        live.forEach { peer -> peer.status?.inFlight?.forEach { (name, count) -> sums.merge(name, count, Int::plus) } }
+        val sums = HashMap<Int, Int>()
+        live.forEach { peer ->
+            peer.status?.inFlight?.counts?.forEach { (key, count) -> sums.merge(key, count, Int::plus) }
+        }
         elsewhere = sums
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -67,8 +67,8 @@
     /** The names of those that are live. */
     val names: Collection<InstanceName>
 
-    /** The requests that they have at an endpoint. */
-    fun inFlight(endpoint: EndpointName): Int
+    /** The requests that they have at the endpoint whose name has the hash [nameHash]. */
+    fun inFlight(nameHash: Long): Int
 }
 
 /** Selects the endpoint for each attempt of a request. */
@@ -112,7 +112,7 @@
                 patience = if (route.streaming) minOf(left, firstEventLeft) else left,
                 spread = exchange.request.spread,
             ),
-            endpoints = candidates.map { Occupancy(it.load, it.endpoint.slots) },
+            endpoints = candidates.asSequence().map { Occupancy(it.load, it.endpoint.slots) },
             times = ledgers.progress.times(service, route.name),
             inProgress = ledgers.progress.byTeam(service),
         )
@@ -155,7 +155,7 @@
         val moving = eligible.filterNot { ledgers.endpoints.entry(it.name).stuck(now, stuckLimit) }.ifEmpty { eligible }
         return HealthyChoice.among(moving, now) { ledgers.endpoints.entry(it.name).health }.map { endpoint ->
             val entry = ledgers.endpoints.entry(endpoint.name)
-            Candidate(endpoint, entry.hash, entry.inFlight + others.inFlight(endpoint.name))
+            Candidate(endpoint, entry.hash, entry.inFlight + others.inFlight(entry.hash))
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLedger.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.sending
 
+import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.health.EndpointHealth
 import comfreypath.coordination.health.HealthEvidence
 import comfreypath.coordination.health.HealthState
@@ -46,8 +47,10 @@
         entries.entries.removeIf { (name, entry) -> entry.inFlight == 0 && !registered(name) }
     }
 
-    /** The endpoints with requests of this router, and how many. */
-    fun inFlight(): Map<EndpointName, Int> = entries.filterValues { it.inFlight > 0 }.mapValues { it.value.inFlight }
+    /** This router's requests in flight. */
+    fun inFlight() = InFlight(
+        entries.values.filter { it.inFlight > 0 }.associate { InFlight.key(it.hash) to it.inFlight },
+    )
 }
 
 /**
