--- a/daemon/src/main/kotlin/comfreypath/daemon/command/MeasureCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/MeasureCommand.kt
@@ -45,6 +45,9 @@
 
     @field:Option(name = "--seconds", metaVar = "seconds", usage = "overhead: how long each way is loaded")
     var seconds: Int = DEFAULT_SECONDS
+
+    @field:Option(name = "--help", usage = "prints this", help = true)
+    var help: Boolean = false
 }
 
 /** Runs a measurement, and prints a table and then one line of JSON. */
@@ -55,13 +58,20 @@
         val parser = CmdLineParser(parsed)
         return try {
             parser.parseArgument(arguments)
-            measure(parsed)
+            if (parsed.help) help(parser) else measure(parsed)
         } catch (wrong: CmdLineException) {
             System.err.println("comfreypath measure: ${wrong.message}")
             EXIT_USAGE
         }
     }
 
+    private fun help(parser: CmdLineParser): Int {
+        val names = (measurements + slopes).joinToString(", ") { it.name }
+        println("usage: comfreypath measure NAME [...]\n\n NAME is one of $names, overhead, all\n")
+        parser.printUsage(System.out)
+        return 0
+    }
+
     private fun measure(arguments: MeasureArguments): Int = when (arguments.name) {
         "overhead" -> overhead(arguments)
         "slopes" -> seeded(slopes, arguments)
