--- a/transport/src/main/kotlin/comfreypath/transport/Address.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/Address.kt
@@ -1,5 +1,6 @@
 package comfreypath.transport
 
+import io.netty.util.NetUtil
 import java.net.InetSocketAddress
 
 private const val HIGHEST_PORT = 65_535
@@ -13,7 +14,7 @@
         fun parse(text: String): Address? {
             val host = text.substringBeforeLast(':', "")
             val port = text.substringAfterLast(':').toIntOrNull()
-            val valid = host.isNotEmpty() && host.all { it.isDigit() || it in "abcdefABCDEF.:[]" }
+            val valid = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)
             return if (valid && port != null && port in 0..HIGHEST_PORT) Address(host, port) else null
         }
     }
