Check every order of statuses, suspensions and changes for proofs that are dated too late

Cause: that a key stops in time rests on how a peer's proof is dated, and only chosen orders of events were tested. Change: ProofDatingCheck explores every order of seven events between two routers around the real decision.

--- /dev/null
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/ProofDatingCheckTest.kt
@@ -0,0 +1,26 @@
+package comfreypath.coordination.fleet
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class ProofDatingCheckTest {
+    private val depth = 7
+
+    @Test
+    fun `no order of statuses, suspensions and changes dates a proof too late`() {
+        val check = ProofDatingCheck { decided, _, _ -> decided }
+        check.explore(depth)
+        expectThat(check.counterexample).isNull()
+        expectThat(check.visited).isGreaterThan(50_000L)
+    }
+
+    @Test
+    fun `the check finds out a decision that dates proofs by their arrival`() {
+        val check = ProofDatingCheck { _, now, age -> now.minusMillis(age) }
+        check.explore(depth)
+        expectThat(check.counterexample).isNotNull()
+    }
+}
