Bound an engine's load by the mean over all engines of its service

Change: the mean is taken over all registered engines of the service, as the operators count it. Before and after: PlacementTest, new, 97 requests at the busiest of 6 engines with 240 in all (bound 83), now within it.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -14,6 +14,9 @@
  */
 class Candidate(val endpoint: Endpoint, val hash: Long, val load: Int)
 
+/** The mean load; 0 when there are none. */
+fun List<Candidate>.meanLoad(): Double = if (isEmpty()) 0.0 else sumOf { it.load }.toDouble() / size
+
 /**
  * Chooses the endpoint for a request.
  *
@@ -22,13 +25,14 @@
  * order; this answers a prompt that many callers use at once.
  */
 object Placement {
-    /** The endpoint for a request whose shared prompt hashes to [key], or null when there is no candidate. */
-    fun byPrompt(candidates: List<Candidate>, key: Long): Candidate? {
-        if (candidates.isEmpty()) {
-            return null
-        }
-        val mean = candidates.sumOf { it.load }.toDouble() / candidates.size
-        val bound = (BOUND_FACTOR * mean + BOUND_SLACK).toInt()
+    /**
+     * The endpoint for a request whose shared prompt hashes to [key], or null when there is no candidate.
+     *
+     * @param serviceMean the mean load of all endpoints of the service. Those that may not be used count too, so that
+     * the others together may have more than the bound allows; the least loaded gets the request then.
+     */
+    fun byPrompt(candidates: List<Candidate>, key: Long, serviceMean: Double = candidates.meanLoad()): Candidate? {
+        val bound = (BOUND_FACTOR * serviceMean + BOUND_SLACK).toInt()
         return firstWithin(bound, candidates, key) ?: candidates.minByOrNull { it.load }
     }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
@@ -55,6 +55,18 @@
         expectThat(loads.values.max().toDouble()).isGreaterThan(mean)
     }
 
+    @Test
+    fun `the bound counts endpoints of the service that may not be used, as in a data centre that is evacuated`() {
+        repeat(240) { number ->
+            val all = candidates(6)
+            val usable = all.filter { it.endpoint.dataCentre.text != "dc-0" }
+            val key = if (number % 5 < 3) 42L else mix(number.toLong(), 5)
+            val chosen = checkNotNull(Placement.byPrompt(usable, key, all.meanLoad()))
+            loads.merge(chosen.endpoint.name.text, 1, Int::plus)
+        }
+        expectThat(loads.values.max().toDouble()).isLessThanOrEqualTo(2 * 240 / 6.0 + 3)
+    }
+
     @Test
     fun `requests without a prompt stay near while there are free slots, and go to the least loaded then`() {
         val near = DataCentreName("dc-1")
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -129,7 +129,7 @@
             Placement.byLoad(candidates, context.options.dataCentre, identity)
                 ?.let { selected(it, null, candidates.size) }
         } else {
-            Placement.byPrompt(candidates, shared.identity)?.let { chosen ->
+            Placement.byPrompt(candidates, shared.identity, meanLoad(registered))?.let { chosen ->
                 val source = source(registered, chosen.endpoint, shared.identity)
                 memory.note(shared.identity, chosen.endpoint.name)
                 selected(chosen, source, candidates.size)
@@ -150,12 +150,19 @@
         return Selection(candidate.endpoint, candidate.load, source, basis)
     }
 
+    private fun meanLoad(registered: List<Endpoint>): Double =
+        if (registered.isEmpty()) 0.0 else registered.sumOf { load(it) }.toDouble() / registered.size
+
+    private fun load(endpoint: Endpoint): Int {
+        val entry = ledgers.endpoints.entry(endpoint.name)
+        return entry.inFlight + others.inFlight(entry.hash)
+    }
+
     private fun candidates(registered: List<Endpoint>, excluded: Set<EndpointName>, now: Instant): List<Candidate> {
         val eligible = registered.filter { it.name !in excluded && takesWork(it) && admitsWhileCold(it, now) }
         val moving = eligible.filterNot { ledgers.endpoints.entry(it.name).stuck(now, stuckLimit) }.ifEmpty { eligible }
         return HealthyChoice.among(moving, now) { ledgers.endpoints.entry(it.name).health }.map { endpoint ->
-            val entry = ledgers.endpoints.entry(endpoint.name)
-            Candidate(endpoint, entry.hash, entry.inFlight + others.inFlight(entry.hash))
+            Candidate(endpoint, ledgers.endpoints.entry(endpoint.name).hash, load(endpoint))
         }
     }
 
