--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -19,6 +19,7 @@
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.Route
 import comfreypath.router.RouterContext
+import comfreypath.router.sending.EndpointLoads
 import comfreypath.router.sending.Ledgers
 import comfreypath.router.view.ClusterView
 import java.time.Duration
@@ -81,6 +82,7 @@
     private val memory = PromptMemory()
     private val cold = ColdAdmission()
     private val overload = OverloadPolicy()
+    private val loads = EndpointLoads(ledgers.endpoints, others)
     private val stuckLimit = Duration.ofMillis(STUCK_MILLISECONDS)
 
     /** Chooses the endpoint for the next attempt of a request. */
@@ -129,7 +131,7 @@
             Placement.byLoad(candidates, context.options.dataCentre, identity)
                 ?.let { selected(it, null, candidates.size) }
         } else {
-            Placement.byPrompt(candidates, shared.identity, meanLoad(registered))?.let { chosen ->
+            Placement.byPrompt(candidates, shared.identity, loads.mean(registered))?.let { chosen ->
                 val source = source(registered, chosen.endpoint, shared.identity)
                 memory.note(shared.identity, chosen.endpoint.name)
                 selected(chosen, source, candidates.size)
@@ -150,19 +152,11 @@
         return Selection(candidate.endpoint, candidate.load, source, basis)
     }
 
-    private fun meanLoad(registered: List<Endpoint>): Double =
-        if (registered.isEmpty()) 0.0 else registered.sumOf { load(it) }.toDouble() / registered.size
-
-    private fun load(endpoint: Endpoint): Int {
-        val entry = ledgers.endpoints.entry(endpoint.name)
-        return entry.inFlight + others.inFlight(entry.hash)
-    }
-
     private fun candidates(registered: List<Endpoint>, excluded: Set<EndpointName>, now: Instant): List<Candidate> {
         val eligible = registered.filter { it.name !in excluded && takesWork(it) && admitsWhileCold(it, now) }
         val moving = eligible.filterNot { ledgers.endpoints.entry(it.name).stuck(now, stuckLimit) }.ifEmpty { eligible }
         return HealthyChoice.among(moving, now) { ledgers.endpoints.entry(it.name).health }.map { endpoint ->
-            Candidate(endpoint, ledgers.endpoints.entry(endpoint.name).hash, load(endpoint))
+            Candidate(endpoint, ledgers.endpoints.entry(endpoint.name).hash, loads.of(endpoint))
         }
     }
 
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLoads.kt
@@ -0,0 +1,17 @@
+package comfreypath.router.sending
+
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.router.request.OtherRouters
+
+/** The requests that all routers are known to have at endpoints. */
+class EndpointLoads(private val ledger: EndpointLedger, private val others: OtherRouters) {
+    /** The requests at [endpoint]. */
+    fun of(endpoint: Endpoint): Int {
+        val entry = ledger.entry(endpoint.name)
+        return entry.inFlight + others.inFlight(entry.hash)
+    }
+
+    /** The mean over [endpoints]; 0 when there are none. */
+    fun mean(endpoints: List<Endpoint>): Double =
+        if (endpoints.isEmpty()) 0.0 else endpoints.sumOf { of(it) }.toDouble() / endpoints.size
+}
