Hand out test ports that no outgoing connection can take

A port was found by listening on port 0 and closing again; it lay in the range from which Linux takes the ports of outgoing connections (32768 to 60999), so that a connection opened before the router listened could take it.

Now ports lie below that range, are handed out once, and come from a block that this process holds by a listening socket, which keeps other processes off.

--- /dev/null
+++ b/daemon/src/test/kotlin/comfreypath/daemon/demo/FreePortsTest.kt
@@ -0,0 +1,56 @@
+package comfreypath.daemon.demo
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.doesNotContain
+import strikt.assertions.hasSize
+import strikt.assertions.isIn
+import java.net.DatagramSocket
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.random.Random
+
+class FreePortsTest {
+    @Test
+    fun `no outgoing connection can be given a port that was handed out`() {
+        ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress()).use { listener ->
+            val handedOut = List(CONNECTIONS) { freeAddress().port }
+            val connections = List(CONNECTIONS) { Socket(listener.inetAddress, listener.localPort) }
+            expectThat(handedOut).all { isIn(FreePorts.LOWEST_PORT until FreePorts.FIRST_EPHEMERAL_PORT) }
+            connections.forEach { connection ->
+                expectThat(handedOut).doesNotContain(connection.localPort)
+                connection.close()
+            }
+        }
+    }
+
+    @Test
+    fun `a port is handed out once, also to another process that draws the same numbers`() {
+        val ports = FreePorts(Random(SEED))
+        val others = FreePorts(Random(SEED))
+        val handedOut = List(2 * FreePorts.BLOCK_SIZE) { listOf(ports.next().port, others.next().port) }.flatten()
+        expectThat(handedOut.toSet()).hasSize(handedOut.size)
+    }
+
+    @Test
+    fun `a port that is taken for either protocol is passed over`() {
+        val ports = FreePorts(Random(SEED + 1))
+        val first = ports.next().port
+        ServerSocket(first + FreePorts.BLOCK_SIZE / 2, 1, InetAddress.getByName("127.0.0.1")).use { listener ->
+            DatagramSocket(InetSocketAddress("127.0.0.1", first + 1)).use { datagrams ->
+                val rest = List(FreePorts.BLOCK_SIZE - 2) { ports.next().port }
+                expectThat(rest).doesNotContain(listener.localPort).doesNotContain(datagrams.localPort)
+                expectThat(rest).contains(first + 2)
+            }
+        }
+    }
+
+    private companion object {
+        const val CONNECTIONS = 200
+        const val SEED = 5
+    }
+}
