Tell a change to all routers once, and pass on only what changed

Now a router that watches the store tells all peers, the others tell eight, drawn anew each time; and a router asks a peer for the changes since its own revision, with the whole list as the fallback when the outcome differs from the peer's digest. FleetTest holds the count of statuses for a change and replays a change that each router tells to a few; KindViewTest replays random lists and changes and compares what a reader of copies knows. The digest of a kind is kept until it changes.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/Fleet.kt
@@ -16,8 +16,12 @@
     /** Statuses are due; [own] is this router's as of now, without an echo. */
     data class Due(val own: PeerStatus) : FleetEvent
 
-    /** This router has learnt something that its peers should know soon. */
-    data object News : FleetEvent
+    /**
+     * This router has learnt something that its peers should know soon.
+     *
+     * @property toAll true to tell every peer, false to tell a few
+     */
+    data class News(val toAll: Boolean) : FleetEvent
 }
 
 /** What a router must do about the fleet. */
@@ -37,6 +41,10 @@
  *
  * A status may be old when it is read: it may have waited in a buffer while this router was suspended. What a peer
  * proves is therefore dated by the echo: the status was written after this router's own status that it echoes.
+ *
+ * A change of the store reaches every router at nearly the same time. If each of them told all others, a change would
+ * cost the square of the fleet; so a router that watches the store tells all peers, and the others tell a few, which
+ * reaches those that a watching router could not.
  */
 class Fleet(private val options: FleetOptions = FleetOptions()) {
     /** Takes an event in. */
@@ -44,7 +52,7 @@
         is FleetEvent.Registered -> Step(registered(state, event.routers))
         is FleetEvent.Heard -> heard(state, event.status, event.sender, now)
         is FleetEvent.Due -> due(state, event.own, now)
-        FleetEvent.News -> Step(state.copy(nextStatusAt = minOf(state.nextStatusAt, now + options.newsDelay)))
+        is FleetEvent.News -> Step(state.noting(event, options, now))
     }
 
     private fun registered(state: FleetState, routers: List<PeerAddress>): FleetState {
@@ -90,19 +98,26 @@
     private fun comparisons(status: PeerStatus, from: PeerAddress): List<FleetAction> =
         status.digests.map { (kind, digest) -> FleetAction.Compare(kind, digest, from) }
 
-    private fun due(state: FleetState, own: PeerStatus, now: Instant): Step<FleetState, FleetAction> {
-        if (now < state.nextStatusAt) {
-            return Step(state)
-        }
+    private fun due(state: FleetState, own: PeerStatus, now: Instant): Step<FleetState, FleetAction> = when {
+        now >= state.nextStatusAt || state.news?.toAll == true && now >= state.dueAt -> tellAll(state, own, now)
+        now >= state.dueAt -> Step(state.copy(news = null), statuses(state.draw(options.newsPeers, now), own))
+        else -> Step(state)
+    }
+
+    private fun tellAll(state: FleetState, own: PeerStatus, now: Instant): Step<FleetState, FleetAction> {
         val current = state.copy(peers = state.peers.filterValues { !forgotten(it, now) }.toPersistentMap())
-        val sends = current.peers.values.map { peer ->
-            FleetAction.Send(peer.address, own.copy(echo = peer.status?.stamp))
-        }
         val known = current.peers.values.map { it.address.endpoint }.toSet()
         val greetings = state.seeds.filter { it.endpoint !in known }.map { FleetAction.Send(it, own) }
-        return Step(current.copy(nextStatusAt = now + options.interval(current.peers.size)), sends + greetings)
+        val nextStatusAt = now + options.interval(current.peers.size)
+        return Step(
+            state = current.copy(nextStatusAt = nextStatusAt, news = null),
+            actions = statuses(current.peers.values, own) + greetings,
+        )
     }
 
+    private fun statuses(peers: Collection<Peer>, own: PeerStatus): List<FleetAction> =
+        peers.map { peer -> FleetAction.Send(peer.address, own.copy(echo = peer.status?.stamp)) }
+
     /** A peer that was only heard, and is not registered, is forgotten when it falls silent. */
     private fun forgotten(peer: Peer, now: Instant): Boolean {
         val heardAt = peer.heardAt
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/FleetTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/FleetTest.kt
@@ -1,5 +1,6 @@
 package comfreypath.coordination.fleet
 
+import comfreypath.coordination.Step
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import kotlinx.collections.immutable.persistentListOf
@@ -8,6 +9,8 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.map
 import strikt.assertions.single
 import java.time.Instant
@@ -87,9 +90,55 @@
     fun `news are told at once, and together`() {
         val own = PeerStatus(self.name, south, StatusStamp(11, 0))
         val told = fleet.step(known, FleetEvent.Due(own), start).state
-        val first = fleet.step(told, FleetEvent.News, start.plusMillis(10)).state
-        val second = fleet.step(first, FleetEvent.News, start.plusMillis(20)).state
-        expectThat(second.nextStatusAt).isEqualTo(start.plusMillis(10) + options.newsDelay)
+        val first = fleet.step(told, FleetEvent.News(toAll = false), start.plusMillis(10)).state
+        val second = fleet.step(first, FleetEvent.News(toAll = true), start.plusMillis(20)).state
+        val toldAt = start.plusMillis(10) + options.newsDelay
+        expectThat(second.dueAt).isEqualTo(toldAt)
+        val next = fleet.step(second, FleetEvent.Due(own), toldAt)
+        expectThat(next.actions.filterIsInstance<FleetAction.Send>()).map { it.to }.containsExactly(other)
+        expectThat(next.state.dueAt).isEqualTo(toldAt + options.interval(1))
+    }
+
+    @Test
+    fun `in a large fleet a change costs statuses in proportion to the fleet`() {
+        val routers = (1..LARGE).map { PeerAddress(InstanceName("r$it"), "10.0.1.$it", 7, south) } + self
+        val own = PeerStatus(self.name, south, StatusStamp(11, 0))
+        val listed = fleet.step(known, FleetEvent.Registered(routers), start).state
+        val idle = fleet.step(listed, FleetEvent.Due(own), start).state
+
+        fun told(toAll: Boolean): Step<FleetState, FleetAction> {
+            val news = fleet.step(idle, FleetEvent.News(toAll), start).state
+            return fleet.step(news, FleetEvent.Due(own), start + options.newsDelay)
+        }
+        expectThat(told(toAll = true).actions.size).isEqualTo(LARGE)
+        val few = told(toAll = false)
+        expectThat(few.actions.size).isEqualTo(options.newsPeers)
+        expectThat(few.state.dueAt).isEqualTo(idle.nextStatusAt)
+    }
+
+    @Test
+    fun `a change that one router learns reaches a large fleet although each tells a few`() {
+        val routers = (1..LARGE).map { PeerAddress(InstanceName("r$it"), "10.0.1.$it", 7, south) }
+        val states = routers.associate { router ->
+            val state = FleetState(router.name, incarnation = 1, nextStatusAt = start.plusSeconds(1))
+            router.name to fleet.step(state, FleetEvent.Registered(routers), start).state
+        }
+        val knowing = mutableSetOf(routers.first().name)
+        var learnt: Set<InstanceName> = knowing.toSet()
+        var round = 0
+        while (learnt.isNotEmpty()) {
+            round += 1
+            val at = start + options.newsDelay.multipliedBy(round.toLong())
+            learnt = learnt.flatMap { name ->
+                val news = fleet.step(states.getValue(name), FleetEvent.News(toAll = false), start).state
+                val own = PeerStatus(name, south, StatusStamp(1, at.toEpochMilli()))
+                val sends = fleet.step(news, FleetEvent.Due(own), at).actions.filterIsInstance<FleetAction.Send>()
+                sends.map { it.to.name }
+            }.toSet() - knowing
+            knowing += learnt
+        }
+        expectThat(knowing.size).isGreaterThanOrEqualTo(LARGE - 1)
+        expectThat(round).isLessThanOrEqualTo(MOST_ROUNDS)
     }
 
     @Test
@@ -99,4 +148,11 @@
         expectThat(large).isEqualTo(options.perPeer.toMillis().toDouble())
         expectThat(small >= large).isEqualTo(true)
     }
+
+    private companion object {
+        const val LARGE = 87
+
+        /** 8 + 64 routers are told in two rounds; the last ones, and those told twice, take a few more. */
+        const val MOST_ROUNDS = 6
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -43,7 +43,7 @@
         context,
         store,
         mapOf(
-            ObjectKinds.CONFIGURATION.label to view.configuration::copy,
+            ObjectKinds.CONFIGURATION.label to { view.configuration.copy() },
             ObjectKinds.ENDPOINTS.label to view.endpoints.entries::copy,
             ObjectKinds.ROLLOUTS.label to view.rollouts::copy,
             ObjectKinds.EVACUATIONS.label to view.evacuations::copy,
@@ -90,8 +90,10 @@
     }
 
     private fun tellNews() {
-        view.configuration.onChange(peers::news)
-        listOf(view.endpoints.entries, view.rollouts, view.evacuations).forEach { it.onChange(peers::news) }
+        view.configuration.onChange { peers.news(toAll = watches(ObjectKinds.CONFIGURATION)) }
+        view.endpoints.entries.onChange { peers.news(toAll = watches(ObjectKinds.ENDPOINTS)) }
+        view.rollouts.onChange { peers.news(toAll = watches(ObjectKinds.ROLLOUTS)) }
+        view.evacuations.onChange { peers.news(toAll = watches(ObjectKinds.EVACUATIONS)) }
     }
 
     /** Takes the newer configuration that a peer has, from the peer or, failing that, from the store. */
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -84,7 +84,7 @@
         context.scope.launch {
             while (true) {
                 view.configuration.checkClocks()
-                if (context.now() >= state.nextStatusAt) {
+                if (context.now() >= state.dueAt) {
                     step(FleetEvent.Due(status()))
                     refreshLive()
                 }
@@ -93,8 +93,8 @@
         }
     }
 
-    /** Lets peers know soon that this router has learnt something. */
-    fun news() = step(FleetEvent.News)
+    /** Lets all peers, or a few, know soon that this router has learnt something. */
+    fun news(toAll: Boolean) = step(FleetEvent.News(toAll))
 
     /** Stops listening. */
     fun stop() = socket.stop()
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -30,8 +30,12 @@
     private val documents = HashMap<String, String>()
     private val listeners = mutableListOf<() -> Unit>()
 
+    private val removals = RemovalLog()
+    private var lastDigest: KindDigest? = null
+
     /** What this router knows, in short; null before the first list. */
-    val digest: KindDigest? get() = confirmedAt?.let { KindDigest(revision, revisions.hashCode()) }
+    override val digest: KindDigest?
+        get() = lastDigest ?: confirmedAt?.let { KindDigest(revision, revisions.hashCode()) }.also { lastDigest = it }
 
     /** Calls [listener] after each change. */
     fun onChange(listener: () -> Unit) {
@@ -44,6 +48,7 @@
             return
         }
         val readable = HashMap<String, T>()
+        noteRemovals(objects, revision)
         revisions.clear()
         documents.clear()
         objects.forEach { note(it) }
@@ -52,6 +57,7 @@
         values = readable.toPersistentMap()
         this.revision = revision
         this.confirmedAt = confirmedAt
+        lastDigest = null
         if (before != values) {
             context.log.record("${label}s_listed", "count" to values.size, "revision" to revision)
             listeners.forEach { it() }
@@ -63,7 +69,7 @@
             val value = if (change.removed) null else readable(change.changed)
             val name = change.changed.name
             values = if (value == null) values.remove(name) else values.put(name, value)
-            if (change.removed) forget(name) else note(change.changed)
+            if (change.removed) forget(name, revision) else note(change.changed)
             context.log.record(
                 if (value == null) "${label}_removed" else "${label}_changed",
                 label to name,
@@ -73,6 +79,7 @@
         }
         this.revision = maxOf(revision, this.revision)
         this.confirmedAt = confirmedAt
+        lastDigest = null
         if (changes.isNotEmpty()) {
             listeners.forEach { it() }
         }
@@ -83,14 +90,40 @@
         documents[stored.name] = stored.document
     }
 
-    private fun forget(name: String) {
+    private fun forget(name: String, revision: Long) {
         revisions.remove(name)
         documents.remove(name)
+        removals.add(name, revision)
+    }
+
+    private fun noteRemovals(objects: List<StoredObject<T>>, revision: Long) {
+        if (confirmedAt == null) {
+            removals.start(revision)
+        } else {
+            val listed = objects.mapTo(HashSet()) { it.name }
+            revisions.keys.filter { it !in listed }.forEach { removals.add(it, revision) }
+        }
     }
 
-    /** What this router can pass on; null before the first list. */
-    fun copy(): KindCopy? = confirmedAt?.let {
-        KindCopy(revision, Duration.between(it, context.now()).toMillis() + 1, documents.values.toList())
+    /**
+     * What this router can pass on to a peer that knows all up to [since], or nothing if that is null. Null before the
+     * first list.
+     */
+    fun copy(since: Long?): KindCopy? = confirmedAt?.let {
+        val age = Duration.between(it, context.now()).toMillis() + 1
+        val removed = since?.takeIf { known -> known <= revision }?.let(removals::since)
+        if (removed == null) {
+            KindCopy(revision, age, documents.values.toList())
+        } else {
+            KindCopy(
+                revision = revision,
+                ageMilliseconds = age,
+                documents = documents.filterKeys { name -> revisions.getValue(name) > since }.values.toList(),
+                since = since,
+                removed = removed.filter { name -> name !in revisions }.distinct(),
+                hash = digest?.hash,
+            )
+        }
     }
 
     private fun readable(stored: StoredObject<T>): T? = stored.value.fold(
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.routing.Configuration
 import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectChange
@@ -10,6 +11,9 @@
 
 /** Takes what a [StoreFollower] learns of the objects of one kind. */
 interface StoreSink<T : Any> {
+    /** What is known so far; null when only a whole list can be taken. */
+    val digest: KindDigest?
+
     /** Takes a whole list, as the store had it at [revision], no earlier than [confirmedAt]. */
     fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant)
 
@@ -22,6 +26,8 @@
     private val context: RouterContext,
     private val view: ConfigurationView
 ) : StoreSink<Configuration> {
+    override val digest: KindDigest? get() = null
+
     override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) =
         objects.forEach { take(it, confirmedAt) }
 
--- a/router/src/test/kotlin/comfreypath/router/request/RelayInvariantsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/RelayInvariantsTest.kt
@@ -4,7 +4,6 @@
 import comfreypath.coordination.invariant.InvariantMonitor
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.EndpointName
-import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.model.VersionName
@@ -12,16 +11,9 @@
 import comfreypath.coordination.routing.Route
 import comfreypath.coordination.routing.RouteKind
 import comfreypath.coordination.verdict.CourseState
-import comfreypath.router.CurrentOptions
-import comfreypath.router.RouterContext
-import comfreypath.router.RouterOptions
 import comfreypath.router.SteadyClock
-import comfreypath.router.telemetry.EventLog
-import comfreypath.router.telemetry.RouterMetrics
-import comfreypath.router.telemetry.Tracing
+import comfreypath.router.TestContext
 import comfreypath.router.view.ClusterView
-import comfreypath.transport.Address
-import comfreypath.transport.eventLoops
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.collections.immutable.persistentListOf
@@ -32,27 +24,9 @@
 import java.time.Instant
 
 class RelayInvariantsTest {
-    private val nowhere = Address("127.0.0.1", 0)
     private val clock = SteadyClock()
     private val monitor = InvariantMonitor()
-    private val options = RouterOptions(
-        name = InstanceName("router-1"),
-        dataCentre = DataCentreName("south"),
-        callerAddress = nowhere,
-        readinessAddress = nowhere,
-        peerAddress = nowhere,
-        metricsAddress = nowhere,
-        objectStore = nowhere,
-    )
-    private val context = RouterContext(
-        settings = CurrentOptions(options),
-        loop = eventLoops("test", 1).next(),
-        clock = clock,
-        log = EventLog(options.name, clock),
-        metrics = RouterMetrics(),
-        monitor = monitor,
-        tracing = Tracing.NONE,
-    )
+    private val context = TestContext.create(clock, monitor)
     private val view = ClusterView(context)
     private val invariants = RelayInvariants(context, view)
     private val endpoint = Endpoint(
--- /dev/null
+++ b/router/src/test/kotlin/comfreypath/router/view/KindViewTest.kt
@@ -0,0 +1,125 @@
+package comfreypath.router.view
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.router.TestContext
+import comfreypath.router.peers.KindCopy
+import comfreypath.router.store.ObjectChange
+import comfreypath.router.store.RouterRecord
+import comfreypath.router.store.StoredObject
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import java.time.Instant
+import kotlin.random.Random
+
+class KindViewTest {
+    private val context = TestContext.create()
+    private val now = Instant.EPOCH
+
+    private fun view() = KindView<RouterRecord>(context, "router")
+
+    private fun stored(name: String, revision: Long) = StoredObject(
+        name = name,
+        revision = revision,
+        value = Ok(RouterRecord("10.0.0.1", revision.toInt(), DataCentreName("south"))),
+        document = "$name@$revision",
+    )
+
+    private fun changed(name: String, revision: Long) = ObjectChange(stored(name, revision), removed = false)
+
+    private fun removed(name: String, revision: Long) = ObjectChange(stored(name, revision), removed = true)
+
+    @Test
+    fun `a peer that knows an earlier revision is told only what changed since`() {
+        val view = view()
+        view.replace(listOf(stored("a", 1), stored("b", 2), stored("c", 3)), 3, now)
+        view.apply(listOf(changed("b", 4), removed("c", 5)), 5, now)
+        expectThat(view.copy(since = 3)).isNotNull().and {
+            get { documents }.containsExactly("b@4")
+            get { removed }.containsExactly("c")
+            get { since }.isEqualTo(3L)
+        }
+        expectThat(view.copy(since = 5)).isNotNull().get { documents }.isEmpty()
+        expectThat(view.copy(since = null)).isNotNull().and {
+            get { documents.sorted() }.containsExactly("a@1", "b@4")
+            get { since }.isNull()
+        }
+    }
+
+    @Test
+    fun `an object that came back after its removal is told as changed`() {
+        val view = view()
+        view.replace(listOf(stored("a", 1)), 1, now)
+        view.apply(listOf(removed("a", 2), changed("a", 3)), 3, now)
+        expectThat(view.copy(since = 1)).isNotNull().and {
+            get { documents }.containsExactly("a@3")
+            get { removed }.isEmpty()
+        }
+    }
+
+    @Test
+    fun `a peer that is ahead, or whose revision is before the first list, is told everything`() {
+        val view = view()
+        view.replace(listOf(stored("a", 10)), 10, now)
+        expectThat(view.copy(since = 11)).isNotNull().get { since }.isNull()
+        expectThat(view.copy(since = 9)).isNotNull().get { since }.isNull()
+    }
+
+    @Test
+    fun `copies of changes always lead to what the peer knows, whatever lists and changes came`() {
+        repeat(RUNS) { seed -> replay(Random(seed)) }
+    }
+
+    private fun replay(random: Random) {
+        val store = sortedMapOf<String, Long>()
+        val source = view()
+        val reader = view()
+        var revision = 0L
+        repeat(STEPS) {
+            val changes = List(random.nextInt(4)) {
+                revision += 1
+                val name = "n${random.nextInt(NAMES)}"
+                if (random.nextBoolean() && store.remove(name) != null) {
+                    removed(name, revision)
+                } else {
+                    changed(name, revision).also { store[name] = revision }
+                }
+            }
+            if (source.confirmedAt == null || random.nextInt(4) == 0) {
+                source.replace(store.map { (name, at) -> stored(name, at) }, revision, now)
+            } else {
+                source.apply(changes, revision, now)
+            }
+            if (random.nextInt(3) == 0) {
+                take(reader, source.copy(reader.digest?.revision))
+                expectThat(reader.digest).isEqualTo(source.digest)
+                expectThat(reader.values.mapValues { it.value.port.toLong() }).isEqualTo(store.toMap())
+            }
+        }
+    }
+
+    private fun take(reader: KindView<RouterRecord>, copy: KindCopy?) {
+        expectThat(copy).isNotNull()
+        val objects = copy?.documents.orEmpty().map { stored(it.substringBefore('@'), it.substringAfter('@').toLong()) }
+        val at = copy?.revision ?: 0
+        if (copy?.since == null) {
+            reader.replace(objects, at, now)
+        } else {
+            val gone = copy.removed.map { StoredObject<RouterRecord>(it, at, Err("removed"), document = "") }
+            val changed = objects.map { ObjectChange(it, removed = false) }
+            reader.apply(gone.map { ObjectChange(it, removed = true) } + changed, at, now)
+        }
+    }
+
+    private companion object {
+        const val RUNS = 200
+        const val STEPS = 60
+        const val NAMES = 6
+    }
+}
