Walk the candidates of a placement by index, and share one FleetOptions

PeerLink and Knowledge each had FleetOptions of their own; the status interval of one could differ from the other's.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -15,7 +15,13 @@
 class Candidate(val endpoint: Endpoint, val hash: Long, val load: Int)
 
 /** The mean load; 0 when there are none. */
-fun List<Candidate>.meanLoad(): Double = if (isEmpty()) 0.0 else sumOf { it.load }.toDouble() / size
+fun List<Candidate>.meanLoad(): Double {
+    var sum = 0L
+    for (index in indices) {
+        sum += this[index].load
+    }
+    return if (isEmpty()) 0.0 else sum.toDouble() / size
+}
 
 /**
  * Chooses the endpoint for a request.
@@ -40,7 +46,8 @@
     private fun firstWithin(bound: Int, candidates: List<Candidate>, key: Long): Candidate? {
         var best: Candidate? = null
         var bestRank = Long.MIN_VALUE
-        for (candidate in candidates) {
+        for (index in candidates.indices) {
+            val candidate = candidates[index]
             val rank = mix(key, candidate.hash)
             if (rank >= bestRank && candidate.load < bound) {
                 best = candidate
--- a/router/src/main/kotlin/comfreypath/router/Knowledge.kt
+++ b/router/src/main/kotlin/comfreypath/router/Knowledge.kt
@@ -32,8 +32,9 @@
     private val view: ClusterView,
     private val peers: PeerLink,
     private val ages: LongestAges,
+    fleetOptions: FleetOptions,
 ) {
-    private val proofs = ProofSchedule(FleetOptions().shortestInterval)
+    private val proofs = ProofSchedule(fleetOptions.shortestInterval)
     private val configurationSink = ConfigurationSink(context, view.configuration)
     private val betterInformed = BetterInformedPeer(view) { peers.live }
     private val registration = Registration(context, store)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLink.kt
@@ -38,7 +38,7 @@
     private val view: ClusterView,
     private val ledger: EndpointLedger,
     private val ready: () -> Boolean,
-    private val options: FleetOptions = FleetOptions(),
+    private val options: FleetOptions,
 ) : OtherRouters {
     private val fleet = Fleet(options)
     private val socket = DatagramSocket(context.loop, ::receive)
