--- a/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/StoreTroubleTest.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.daemon.demo.PlatformFleet
 import comfreypath.daemon.demo.PlatformRequest
 import comfreypath.daemon.demo.freeAddress
 import comfreypath.router.RouterOptions
@@ -27,6 +28,30 @@
         route: String = "history",
     ): Int? = call(PlatformRequest(route, "r${number++}", key = key), router)?.status
 
+    /** Starts a router that never reaches the store and knows the first router's address. */
+    private suspend fun PlatformFixture.startCutOff() {
+        val informed = fleet.routers.single().options
+        val options = RouterOptions(
+            name = InstanceName("cut-off"),
+            dataCentre = DataCentreName("data-centre-1"),
+            callerAddress = freeAddress(),
+            readinessAddress = freeAddress(),
+            peerAddress = freeAddress(),
+            metricsAddress = freeAddress(),
+            objectStore = freeAddress(),
+            peers = listOf(informed.peerAddress),
+            bounds = informed.bounds,
+        )
+        fleet.awaitReady(fleet.launch(options))
+    }
+
+    /** True when requests through the cut-off router are answered, and none of them by [server]. */
+    private suspend fun PlatformFixture.avoids(server: PlatformFleet.RunningServer): Boolean {
+        val before = server.server.seen.size
+        val answers = List(REQUESTS) { status(router = 1) }
+        return answers.all { it == 200 } && server.server.seen.size == before
+    }
+
     @Test
     fun `in an outage keys count until their bound, are refused as not run then, and count again after it`() =
         PlatformFixture(tune = shortBound).run {
@@ -50,19 +75,7 @@
     @Test
     fun `a router that can't reach the store learns from its peers, revocations too`() =
         PlatformFixture(tune = shortBound).run {
-            val informed = fleet.routers.single().options
-            val cutOff = RouterOptions(
-                name = InstanceName("cut-off"),
-                dataCentre = DataCentreName("data-centre-1"),
-                callerAddress = freeAddress(),
-                readinessAddress = freeAddress(),
-                peerAddress = freeAddress(),
-                metricsAddress = freeAddress(),
-                objectStore = freeAddress(),
-                peers = listOf(informed.peerAddress),
-                bounds = informed.bounds,
-            )
-            fleet.awaitReady(fleet.launch(cutOff))
+            startCutOff()
             expectThat(status(key = "key-2", router = 1)).isEqualTo(200)
             delay(4_000)
             expectThat(status(key = "key-2", router = 1)).isEqualTo(200)
@@ -72,6 +85,26 @@
             eventually("the key refused") { status(key = "key-2", router = 1) == 401 }
         }
 
+    @Test
+    fun `a router that can't reach the store learns each change and each removal of a server from its peers`() =
+        PlatformFixture().run {
+            startCutOff()
+            val (first, second) = fleet.plainServers
+            fleet.platform.deregister(first.endpoint)
+            eventually("no request at the server that left") { avoids(first) }
+            fleet.platform.register(first.endpoint)
+            eventually("requests at the server that came back") { !avoids(first) }
+            fleet.platform.reregister(second.endpoint.copy(draining = true))
+            eventually("no request at the draining server") { avoids(second) }
+            repeat(CHANGES) {
+                fleet.platform.reregister(second.endpoint.copy(draining = it % 2 == 0))
+                fleet.platform.deregister(first.endpoint)
+                fleet.platform.register(first.endpoint)
+            }
+            fleet.platform.reregister(second.endpoint.copy(draining = true))
+            eventually("no request at the server that drains in the end") { avoids(second) }
+        }
+
     @Test
     fun `a watch that went silent is found out by what a peer knows`() = PlatformFixture(routers = 2).run {
         val server = fleet.plainServers.first()
@@ -111,4 +144,9 @@
         eventually("peers that are heard") { late.router.livePeers == 2 }
         expectThat(status(router = 2)).isNotNull().isGreaterThan(0)
     }
+
+    private companion object {
+        const val REQUESTS = 8
+        const val CHANGES = 10
+    }
 }
