Share the records and the run of a fleet between tests

Cause: read once more, the change had the same endpoint record in two tests of coordination, the same route record in two, and the same start, stop and check of invariants in two fixtures. testEndpoint, testRoute and runWithFleet now serve them.

Assertions are as before. Program code is unchanged.

--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
@@ -2,9 +2,7 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.EndpointName
-import comfreypath.coordination.model.ServiceName
-import comfreypath.coordination.model.VersionName
-import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.testEndpoint
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -17,18 +15,7 @@
 
     private fun candidate(number: Int, dataCentre: String = "dc-${number % 3}"): Candidate {
         val name = "engine-$number"
-        val endpoint = Endpoint(
-            name = EndpointName(name),
-            service = ServiceName("s"),
-            host = "10.0.0.$number",
-            port = 80,
-            dataCentre = DataCentreName(dataCentre),
-            version = VersionName("v1"),
-            slots = 6,
-            draining = false,
-            coldMilliseconds = 0,
-            startedAt = null,
-        )
+        val endpoint = testEndpoint(number).copy(name = EndpointName(name), dataCentre = DataCentreName(dataCentre))
         return Candidate(endpoint, hashOf(name), loads[name] ?: 0)
     }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
@@ -1,9 +1,6 @@
 package comfreypath.coordination.routing
 
-import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.EndpointName
-import comfreypath.coordination.model.ServiceName
-import comfreypath.coordination.model.VersionName
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -14,18 +11,7 @@
 class RemovalPolicyTest {
     private val now = Instant.ofEpochSecond(1_000)
 
-    private fun endpoint(number: Int, draining: Boolean = false) = Endpoint(
-        name = EndpointName("e$number"),
-        service = ServiceName("s"),
-        host = "10.0.0.$number",
-        port = 80,
-        dataCentre = DataCentreName("dc"),
-        version = VersionName("v1"),
-        slots = 6,
-        draining = draining,
-        coldMilliseconds = 0,
-        startedAt = null,
-    )
+    private fun endpoint(number: Int, draining: Boolean = false) = testEndpoint(number).copy(draining = draining)
 
     private fun entries(vararg numbers: Int) = numbers.associate { EndpointName("e$it") to endpoint(it) }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/routing/RouteTableTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/routing/RouteTableTest.kt
@@ -1,29 +1,13 @@
 package comfreypath.coordination.routing
 
-import comfreypath.coordination.model.ServiceName
-import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
-import java.time.Duration
 
 class RouteTableTest {
-    private fun route(name: String, host: String, prefix: String) = Route(
-        name = name,
-        host = host,
-        pathPrefix = prefix,
-        kind = RouteKind.IDEMPOTENT,
-        timeout = Duration.ofSeconds(1),
-        latencyTarget = Duration.ofSeconds(1),
-        gapTarget = null,
-        priority = 0,
-        destinations = persistentListOf(Destination(ServiceName("s"), 1)),
-        maxAttempts = 1,
-        public = false,
-        cacheAffinity = false,
-        resumable = false,
-    )
+    private fun route(name: String, host: String, prefix: String) =
+        testRoute().copy(name = name, host = host, pathPrefix = prefix)
 
     private val table = RouteTable(
         listOf(
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/RequestCourseTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/RequestCourseTest.kt
@@ -1,10 +1,8 @@
 package comfreypath.coordination.verdict
 
-import comfreypath.coordination.model.ServiceName
-import comfreypath.coordination.routing.Destination
 import comfreypath.coordination.routing.Route
 import comfreypath.coordination.routing.RouteKind
-import kotlinx.collections.immutable.persistentListOf
+import comfreypath.coordination.routing.testRoute
 import net.jqwik.api.Arbitraries
 import net.jqwik.api.Arbitrary
 import net.jqwik.api.ForAll
@@ -15,28 +13,14 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
-import java.time.Duration
 import java.time.Instant
 
 class RequestCourseTest {
     private val course = RequestCourse(mostRefusals = 3)
     private val now = Instant.ofEpochSecond(100)
 
-    private fun route(kind: RouteKind, resumable: Boolean = false, attempts: Int = 2) = Route(
-        name = "r",
-        host = "h",
-        pathPrefix = "/",
-        kind = kind,
-        timeout = Duration.ofSeconds(4),
-        latencyTarget = Duration.ofMillis(300),
-        gapTarget = null,
-        priority = 0,
-        destinations = persistentListOf(Destination(ServiceName("s"), 1)),
-        maxAttempts = attempts,
-        public = false,
-        cacheAffinity = false,
-        resumable = resumable,
-    )
+    private fun route(kind: RouteKind, resumable: Boolean = false, attempts: Int = 2) =
+        testRoute().copy(kind = kind, resumable = resumable, maxAttempts = attempts)
 
     private fun state(route: Route) = CourseState(route, deadline = now.plusSeconds(4))
 
--- a/daemon/src/test/kotlin/comfreypath/daemon/FleetFixture.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/FleetFixture.kt
@@ -9,10 +9,7 @@
 import comfreypath.standins.Booking
 import comfreypath.standins.EngineFaults
 import comfreypath.transport.dispatcher
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
-import strikt.api.expectThat
-import strikt.assertions.isEmpty
 
 /** A small fleet for one test, with callers that use it. */
 class FleetFixture(options: LocalFleetOptions = LocalFleetOptions(routers = 3, engines = 3, services = 3)) {
@@ -20,17 +17,8 @@
     private val caller = Caller(fleet.callerLoop)
 
     /** Starts the fleet, runs the test, stops it, and expects that no invariant was violated. */
-    fun run(test: suspend FleetFixture.() -> Unit) {
-        runBlocking {
-            fleet.start()
-            try {
-                test()
-            } finally {
-                fleet.stop()
-            }
-        }
-        expectThat(fleet.violations.toList()).isEmpty()
-    }
+    fun run(test: suspend FleetFixture.() -> Unit) =
+        runWithFleet(fleet::start, fleet::stop, fleet.violations) { test() }
 
     fun question(text: String, tokens: Int = 8) = ChatCompletionRequest(
         model = fleet.layout.model,
@@ -43,9 +31,7 @@
     suspend fun ask(
         request: ChatCompletionRequest,
         router: Int = 0,
-        key: String = fleet.layout.keyOf(
-            0
-        )
+        key: String = fleet.layout.keyOf(0),
     ): CallerOutcome =
         withContext(fleet.callerLoop.dispatcher()) {
             caller.chat(fleet.routers[router].options.callerAddress, key, request)
--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
@@ -12,10 +12,7 @@
 import comfreypath.transport.WholeResponse
 import comfreypath.transport.dispatcher
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
-import strikt.api.expectThat
-import strikt.assertions.isEmpty
 
 private const val POLL_MILLISECONDS = 20L
 private const val POLLS = 400
@@ -26,17 +23,8 @@
     private val caller = PlatformCaller(fleet.callerLoop)
 
     /** Starts the fleet, runs the test, stops it, and expects that no invariant was violated. */
-    fun run(test: suspend PlatformFixture.() -> Unit) {
-        runBlocking {
-            fleet.start()
-            try {
-                test()
-            } finally {
-                fleet.stop()
-            }
-        }
-        expectThat(fleet.violations.toList()).isEmpty()
-    }
+    fun run(test: suspend PlatformFixture.() -> Unit) =
+        runWithFleet(fleet::start, fleet::stop, fleet.violations) { test() }
 
     /** Sends a request through a router; null when no whole answer came. */
     suspend fun call(request: PlatformRequest, router: Int = 0): WholeResponse? =
