Complete a configuration read even if applying its result fails

What callers saw: nothing, until their own deadline. While the last confirmation of the configuration is too old, each request waits for a read of it. If applying the result of that read failed (a listener that throws, a record that can't be parsed), the read was never marked as complete; this request and every later one joined it and waited for ever, and the background probe with them. A configuration is just what such a read returns, so this shows beside a change of it.

Evidence: the new test times out after 5 s on the code before; with this change the second read starts anew.

The read now completes together with its task, however that ends; the failure itself is logged as task_failed as before.

--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.simple.RandomSource
 import java.time.Duration
+import java.time.Instant
 
 private const val POLL_MILLISECONDS = 100L
 
@@ -27,7 +28,7 @@
     private val onResponse: () -> Unit,
 ) {
     private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
-    private var pendingRead: CompletableDeferred<Boolean>? = null
+    private var pendingRead: PendingRead? = null
 
     private fun isFresh(maxAge: Duration): Boolean = view.age()?.let { it <= maxAge } ?: false
 
@@ -48,26 +49,33 @@
     }
 
     /** Reads the configuration now, or joins a read in progress; returns false if the store did not return it. */
-    suspend fun probe(): Boolean {
-        pendingRead?.let { return it.await() }
-        val outcome = CompletableDeferred<Boolean>()
-        pendingRead = outcome
-        context.scope.launch {
-            val sentAt = context.now()
-            val succeeded = store.read(ObjectKinds.CONFIGURATION, ObjectKinds.CONFIGURATION_NAME).fold(
-                success = { stored ->
-                    onResponse()
-                    stored?.let { sink.update(it, sentAt) }
-                    stored != null
-                },
-                failure = { false },
-            )
+    suspend fun probe(): Boolean = (pendingRead ?: startRead()).succeeded.await()
+
+    /** True if the configuration was current at most [maxAge] ago; reads it if the last confirmation is older. */
+    suspend fun confirmedWithin(maxAge: Duration): Boolean = isFresh(maxAge) || probe() && isFresh(maxAge)
+
+    private fun startRead(): PendingRead {
+        val read = PendingRead(context.now())
+        pendingRead = read
+        val job = context.scope.launch { read.succeeded.complete(readConfiguration(read.startedAt)) }
+        job.invokeOnCompletion {
             pendingRead = null
-            outcome.complete(succeeded)
+            read.succeeded.complete(false)
         }
-        return outcome.await()
+        return read
     }
 
-    /** True if the configuration was current at most [maxAge] ago; reads it if the last confirmation is older. */
-    suspend fun confirmedWithin(maxAge: Duration): Boolean = isFresh(maxAge) || probe() && isFresh(maxAge)
+    private suspend fun readConfiguration(startedAt: Instant): Boolean =
+        store.read(ObjectKinds.CONFIGURATION, ObjectKinds.CONFIGURATION_NAME).fold(
+            success = { stored ->
+                onResponse()
+                stored?.let { sink.update(it, startedAt) }
+                stored != null
+            },
+            failure = { false },
+        )
+
+    private class PendingRead(val startedAt: Instant) {
+        val succeeded = CompletableDeferred<Boolean>()
+    }
 }
--- /dev/null
+++ b/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
@@ -0,0 +1,108 @@
+package comfreypath.router.view
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import comfreypath.coordination.routing.CallerLimits
+import comfreypath.coordination.routing.Configuration
+import comfreypath.router.MonotonicClock
+import comfreypath.router.TestContext
+import comfreypath.router.store.ObjectChanges
+import comfreypath.router.store.ObjectKind
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.ObjectPage
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoredObject
+import comfreypath.transport.dispatcher
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isTrue
+import java.time.Duration
+
+private const val TEST_LIMIT_MILLISECONDS = 5_000L
+
+class ConfigurationProbeTest {
+    private val clock = MonotonicClock()
+    private val context = TestContext.create(clock)
+    private val view = ConfigurationView(context)
+    private val maxAge = Duration.ofMillis(100)
+    private val configuration = Configuration(
+        version = 1,
+        routes = persistentListOf(),
+        services = persistentMapOf(),
+        limits = CallerLimits(),
+        teams = null,
+    )
+
+    private fun probe(read: suspend () -> Result<StoredObject<Configuration>?, StoreError>) = ConfigurationProbe(
+        context = context,
+        store = ReadOnlyStore(read),
+        view = view,
+        sink = ConfigurationSink(context, view),
+        ageRange = { ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(1)) },
+        onResponse = {},
+    )
+
+    private fun stored() = StoredObject(ObjectKinds.CONFIGURATION_NAME, 1, Ok(configuration), document = "{}")
+
+    private fun test(body: suspend () -> Unit) = runBlocking {
+        withTimeout(TEST_LIMIT_MILLISECONDS) { withContext(context.loop.dispatcher()) { body() } }
+    }
+
+    @Test
+    fun `a read confirms the configuration`() = test {
+        expectThat(probe { Ok(stored()) }.confirmedWithin(maxAge)).isTrue()
+    }
+
+    @Test
+    fun `a failure while a configuration is applied does not leave later requests without a response`() = test {
+        view.onChange { error("a listener failed") }
+        val probe = probe {
+            delay(1)
+            Ok(stored())
+        }
+        probe.confirmedWithin(maxAge)
+        delay(maxAge.toMillis() + 1)
+        expectThat(probe.confirmedWithin(maxAge)).isTrue()
+    }
+
+    private class ReadOnlyStore(
+        private val read: suspend () -> Result<StoredObject<Configuration>?, StoreError>,
+    ) : ObjectStore {
+        override suspend fun <T : Any> list(kind: ObjectKind<T>, after: String?): Result<ObjectPage<T>, StoreError> =
+            error("not used")
+
+        override suspend fun <T : Any> watch(
+            kind: ObjectKind<T>,
+            revision: Long,
+            maxWait: Duration,
+        ): Result<ObjectChanges<T>, StoreError> = error("not used")
+
+        @Suppress("UNCHECKED_CAST")
+        override suspend fun <T : Any> read(kind: ObjectKind<T>, name: String): Result<StoredObject<T>?, StoreError> =
+            read() as Result<StoredObject<T>?, StoreError>
+
+        override suspend fun <T : Any> create(
+            kind: ObjectKind<T>,
+            name: String,
+            value: T,
+        ): Result<StoredObject<T>, StoreError> = error("not used")
+
+        override suspend fun <T : Any> replace(
+            kind: ObjectKind<T>,
+            name: String,
+            value: T,
+            expectedRevision: Long,
+        ): Result<StoredObject<T>, StoreError> = error("not used")
+
+        override fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>? = error("not used")
+
+        override suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError> = error("not used")
+    }
+}
