Refuse early while the store does not confirm the configuration

What callers saw: with the store silent, requests that needed a confirmation (a known key after 4.5 s, an unknown route or key after 1.7 s) got no answer for up to 3 s, the connect timeout and the call timeout one after the other. That is longer than the timeout of some routes and the deadline of their callers: the caller left without an answer or a refusal.

Evidence: the new test on the code before waits for its limit of 5 s. Now the first request waits for at most 0.5 s and is refused as not run, and those that come while the read is still in progress are refused at once. A confirmation by a peer that arrives during the wait counts, whatever becomes of the read.

--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -7,12 +7,16 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.rng.simple.RandomSource
 import java.time.Duration
 import java.time.Instant
 
 private const val POLL_MILLISECONDS = 100L
 
+/** How long requests wait for a read that is to confirm the configuration. */
+private const val MAX_CONFIRMATION_MILLISECONDS = 500L
+
 /**
  * Reads the configuration when the last confirmation that it is current gets old.
  *
@@ -51,8 +55,20 @@
     /** Reads the configuration now, or joins a read in progress; returns false if the store did not return it. */
     suspend fun probe(): Boolean = (pendingRead ?: startRead()).succeeded.await()
 
-    /** True if the configuration was current at most [maxAge] ago; reads it if the last confirmation is older. */
-    suspend fun confirmedWithin(maxAge: Duration): Boolean = isFresh(maxAge) || probe() && isFresh(maxAge)
+    /**
+     * True if the configuration was current at most [maxAge] ago; reads it if the last confirmation is older.
+     *
+     * Returns false once the read has taken longer than a store that responds needs, and at once while such a read is
+     * in progress, so that requests are refused early instead of waiting for a store that is down.
+     */
+    suspend fun confirmedWithin(maxAge: Duration): Boolean {
+        if (!isFresh(maxAge)) {
+            val read = pendingRead ?: startRead()
+            val timeLeft = Duration.between(context.now(), read.startedAt.plusMillis(MAX_CONFIRMATION_MILLISECONDS))
+            withTimeoutOrNull(timeLeft.toMillis()) { read.succeeded.await() }
+        }
+        return isFresh(maxAge)
+    }
 
     private fun startRead(): PendingRead {
         val read = PendingRead(context.now())
--- a/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
@@ -16,14 +16,18 @@
 import comfreypath.transport.dispatcher
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import java.time.Duration
+import java.time.Instant
 
 private const val TEST_LIMIT_MILLISECONDS = 5_000L
 
@@ -72,6 +76,17 @@
         expectThat(probe.confirmedWithin(maxAge)).isTrue()
     }
 
+    @Test
+    fun `requests do not wait for a store that does not respond`() = test {
+        val probe = probe { awaitCancellation() }
+        val startedAt = clock.instant()
+        expectThat(probe.confirmedWithin(maxAge)).isFalse()
+        expectThat(Duration.between(startedAt, clock.instant())).isLessThan(Duration.ofSeconds(1))
+        val refusedAt: Instant = clock.instant()
+        expectThat(probe.confirmedWithin(maxAge)).isFalse()
+        expectThat(Duration.between(refusedAt, clock.instant())).isLessThan(Duration.ofMillis(100))
+    }
+
     private class ReadOnlyStore(
         private val read: suspend () -> Result<StoredObject<Configuration>?, StoreError>,
     ) : ObjectStore {
