Report each request that is read and gets no complete response

Callers saw that a request which the router had read completely got neither an answer nor a refusal. Nothing in the logs or metrics told which of the places where a connection of a caller ends was the cause: closing by the client, a failed write, a failed handler, pipelined requests dropped after a response, a rejection and the stop of the server all ended silently.

HttpServer now reports typed events: each request read completely, each response written completely (the last byte's write succeeded), each request left unanswered with reason, age and whether its response had begun, each failed handler, and each connection over the maximum. OpenExchanges keeps the exchanges of a connection that are not over, so that the sums can be compared. The router logs request_unanswered, handler_failed and connections_refused (at most one line a second) and counts them. A failed handler's exception went to the thread's handler of uncaught exceptions only.

RequestQueue takes the order of requests out of ServerConnection, which keeps the decoding. What callers see is unchanged.

--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -107,9 +107,11 @@
     )
     private val requests: RequestPipeline = RequestPipeline(context, formats.callers, view.configuration, stages())
     private val callerServer = HttpServer(
-        loop,
-        CallerServerOptions({ context.options.maxConnections }, view, formats.callers)::current,
-        requests::handle,
+        loop = loop,
+        options = CallerServerOptions({ context.options.maxConnections }, view, formats.callers)::current,
+        clock = clock,
+        onEvent = CallerServerEvents(context, formats.callers)::record,
+        handler = requests::handle,
     )
     private val pages = StatusPages(context) { ready }
     private var stopping = false
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -21,6 +21,20 @@
     /** Requests refused or failed by the router, by code. */
     val refused: Counter = counter("comfreypath_refused_total", "Requests refused.", "code")
 
+    /** Requests that were read completely; each is also counted as a response written or a request unanswered. */
+    val requestsRead: Counter = counter("comfreypath_requests_read_total", "Requests read completely.")
+
+    /** Responses that were written completely. */
+    val responsesWritten: Counter = counter("comfreypath_responses_written_total", "Responses written completely.")
+
+    /** Requests that were read completely and have no complete response, by reason. */
+    val requestsUnanswered: Counter =
+        counter("comfreypath_requests_unanswered_total", "Requests read without a complete response.", "reason")
+
+    /** Connections of callers that were closed at once because too many were open. */
+    val connectionsRefused: Counter =
+        counter("comfreypath_connections_refused_total", "Connections over the maximum.")
+
     /** Attempts at endpoints, by outcome. */
     val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
 
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -16,6 +16,9 @@
         # HELP comfreypath_configuration_version Configuration version in force.
         # TYPE comfreypath_configuration_version gauge
         comfreypath_configuration_version 18.0
+        # HELP comfreypath_connections_refused_total Connections over the maximum.
+        # TYPE comfreypath_connections_refused_total counter
+        comfreypath_connections_refused_total 8.0
         # HELP comfreypath_control_bytes_total Control traffic.
         # TYPE comfreypath_control_bytes_total counter
         comfreypath_control_bytes_total{direction="sent"} 3.0
@@ -44,6 +47,15 @@
         # HELP comfreypath_refused_total Requests refused.
         # TYPE comfreypath_refused_total counter
         comfreypath_refused_total{code="overloaded"} 5.0
+        # HELP comfreypath_requests_read_total Requests read completely.
+        # TYPE comfreypath_requests_read_total counter
+        comfreypath_requests_read_total 9.0
+        # HELP comfreypath_requests_unanswered_total Requests read without a complete response.
+        # TYPE comfreypath_requests_unanswered_total counter
+        comfreypath_requests_unanswered_total{reason="client_closed"} 10.0
+        # HELP comfreypath_responses_written_total Responses written completely.
+        # TYPE comfreypath_responses_written_total counter
+        comfreypath_responses_written_total 11.0
         # HELP comfreypath_store_calls_total Calls to the store.
         # TYPE comfreypath_store_calls_total counter
         comfreypath_store_calls_total{kind="endpoints",outcome="answered",verb="list"} 6.0
@@ -61,6 +73,10 @@
         metrics.refused.labelValues("overloaded").inc(5)
         metrics.storeCalls.labelValues("list", "endpoints", "answered").inc(6)
         metrics.violations.labelValues("at_most_once").inc(7)
+        metrics.connectionsRefused.inc(8)
+        metrics.requestsRead.inc(9)
+        metrics.requestsUnanswered.labelValues("client_closed").inc(10)
+        metrics.responsesWritten.inc(11)
         metrics.inProgress.set(4.0)
         metrics.configurationVersion.set(18.0)
         metrics.latency.labelValues("idempotent").observe(0.25)
--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
@@ -14,10 +14,26 @@
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.IOException
 
+/** Is told what happens to one response. */
+internal interface ResponseObserver {
+    /** The status line goes to the connection. */
+    fun begun()
+
+    /** The last byte was written to the connection. */
+    fun written()
+
+    /** A write failed; nothing more can be written. */
+    fun writeFailed(cause: Throwable)
+
+    /** The handler gives the response up and closes the connection. */
+    fun aborted()
+}
+
 /** Writes one response to a server connection; [mayKeepAlive] is false if the connection is to close after it. */
 internal class ConnectionWriter(
     private val context: ChannelHandlerContext,
     private val gate: WriteGate,
+    private val observer: ResponseObserver,
     private val mayKeepAlive: () -> Boolean,
 ) : ResponseWriter {
     private var closing = false
@@ -31,7 +47,7 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
         addHeaders(response, headers)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        started = true
+        begin()
         ended = true
         flush(response)
     }
@@ -44,10 +60,15 @@
         } else {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
         }
-        started = true
+        begin()
         flush(response)
     }
 
+    private fun begin() {
+        started = true
+        observer.begun()
+    }
+
     private fun addHeaders(response: HttpResponse, headers: HttpHeaders) {
         response.headers().add(headers)
         if (!keepAlive) {
@@ -69,6 +90,7 @@
     override fun abort() {
         started = true
         closing = true
+        observer.aborted()
         context.close()
     }
 
@@ -76,6 +98,11 @@
         if (!context.channel().isActive) {
             throw IOException("the client closed the connection")
         }
-        context.writeAndFlush(message)
+        context.writeAndFlush(message).addListener { write ->
+            when {
+                !write.isSuccess -> observer.writeFailed(write.cause())
+                message is LastHttpContent -> observer.written()
+            }
+        }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.cancel
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.time.InstantSource
 
 private const val ACCEPT_BACKLOG = 1_024
 
@@ -23,21 +24,26 @@
  * An HTTP/1.1 server whose connections and handlers all run on one event loop.
  *
  * @param options provides the limits for each connection when it opens, so that they can change while the server runs
+ * @param clock measures the age of requests
+ * @param onEvent is called with each event of a request or connection, on the loop's thread
  */
 class HttpServer(
     private val loop: EventLoop,
     private val options: () -> HttpServerOptions,
-    private val handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
+    clock: InstantSource = InstantSource.system(),
+    private val onEvent: (ServerEvent) -> Unit = {},
+    handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(loop)
     private val scope = CoroutineScope(loop.dispatcher() + SupervisorJob())
+    private val environment = ServerEnvironment(scope, options, { !closeAfterResponse }, clock, onEvent, handler)
     private var listener: Channel? = null
 
     constructor(
         loop: EventLoop,
         options: HttpServerOptions,
         handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
-    ) : this(loop, { options }, handler)
+    ) : this(loop, { options }, handler = handler)
 
     /** While true, connections are closed after their next response, so that callers reconnect elsewhere. */
     var closeAfterResponse: Boolean = false
@@ -69,12 +75,15 @@
 
     /** Closes the connections that have no request in progress. */
     fun closeIdle() {
-        connections.mapNotNull { it.pipeline().get(ServerConnection::class.java) }.forEach { it.closeIfIdle() }
+        openConnections().forEach { it.closeIfIdle() }
     }
 
+    private fun openConnections() = connections.mapNotNull { it.pipeline().get(ServerConnection::class.java) }
+
     /** Closes the listener and all connections, aborting the requests in progress. */
     suspend fun stop() {
         stopAccepting()
+        openConnections().forEach { it.stop() }
         connections.close().awaitSuccess()
         scope.cancel()
     }
@@ -83,6 +92,7 @@
         override fun initChannel(channel: Channel) {
             val limits = options()
             if (connections.size >= limits.maxConnections) {
+                onEvent(ServerEvent.ConnectionRefused(connections.size))
                 channel.close()
                 return
             }
@@ -94,9 +104,7 @@
                 .addLast(StrictRequestDecoder(limits.maxHeaderBytes))
                 .addLast(HttpResponseEncoder())
                 .addLast(gate)
-                .addLast(
-                    ServerConnection(scope, limits, { !closeAfterResponse }, PipelineHandlers(gate, timer), handler)
-                )
+                .addLast(ServerConnection(environment, limits, PipelineHandlers(gate, timer)))
         }
     }
 }
--- /dev/null
+++ b/transport/src/main/kotlin/comfreypath/transport/OpenExchanges.kt
@@ -0,0 +1,44 @@
+package comfreypath.transport
+
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+
+/** A request that was read completely, until its response is written or known to be incomplete. */
+internal class ServerExchange(val request: IncomingRequest, val keepAlive: Boolean, val readAt: Instant) {
+    var responseBegun = false
+}
+
+/** The exchanges of one connection that have no complete response yet; reports how each of them ends. */
+internal class OpenExchanges(private val clock: InstantSource, private val onEvent: (ServerEvent) -> Unit) {
+    private val open = LinkedHashSet<ServerExchange>()
+
+    /** True if each request has its complete response. */
+    val isEmpty: Boolean get() = open.isEmpty()
+
+    /** Adds a request that was read completely. */
+    fun add(complete: Aggregation.Complete): ServerExchange {
+        val exchange = ServerExchange(complete.request, complete.keepAlive, clock.instant())
+        open += exchange
+        onEvent(ServerEvent.RequestRead)
+        return exchange
+    }
+
+    /** Removes an exchange whose response is written completely. */
+    fun complete(exchange: ServerExchange) {
+        if (open.remove(exchange)) {
+            onEvent(ServerEvent.ResponseWritten)
+        }
+    }
+
+    /** Removes an exchange that gets no complete response. */
+    fun fail(exchange: ServerExchange, reason: UnansweredReason, cause: Throwable? = null) {
+        if (open.remove(exchange)) {
+            val age = Duration.between(exchange.readAt, clock.instant())
+            onEvent(ServerEvent.RequestUnanswered(exchange.request, reason, age, exchange.responseBegun, cause))
+        }
+    }
+
+    /** Removes all exchanges, none of which gets a complete response. */
+    fun failAll(reason: UnansweredReason) = open.toList().forEach { fail(it, reason) }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -0,0 +1,153 @@
+package comfreypath.transport
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import java.io.IOException
+
+private const val MAX_PIPELINED_REQUESTS = 16
+
+/**
+ * The requests of one connection: runs the handler for one request at a time, in order of arrival, and closes the
+ * connection after the last response. [onEmpty] is called when a response is over and no request is pending.
+ */
+internal class RequestQueue(
+    private val context: ChannelHandlerContext,
+    private val environment: ServerEnvironment,
+    private val limits: HttpServerOptions,
+    private val gate: WriteGate,
+    private val onEmpty: () -> Unit,
+) {
+    private val exchanges = OpenExchanges(environment.clock, environment.onEvent)
+    private val pending = ArrayDeque<ServerExchange>()
+    private var running: Job? = null
+    private var closeReason: UnansweredReason? = null
+
+    /** True once no further request is accepted. */
+    var closing = false
+        private set
+
+    /** True while a request is handled. */
+    val busy: Boolean get() = running != null || closing
+
+    /** Adds a request that was read completely. */
+    fun add(complete: Aggregation.Complete) {
+        val exchange = exchanges.add(complete)
+        if (pending.size < MAX_PIPELINED_REQUESTS) {
+            pending.addLast(exchange)
+            handleNext()
+        } else {
+            reject(HttpRejection.MALFORMED)
+        }
+    }
+
+    private fun handleNext() {
+        if (running != null) {
+            return
+        }
+        val next = pending.removeFirstOrNull()
+        if (next == null) onEmpty() else handle(next)
+    }
+
+    private fun handle(exchange: ServerExchange) {
+        val writer = ConnectionWriter(context, gate, Observer(exchange)) {
+            exchange.keepAlive && environment.mayKeepAlive()
+        }
+        val onFailure = CoroutineExceptionHandler { _, failure -> reportFailure(exchange, failure) }
+        running = environment.scope.launch(onFailure) {
+            try {
+                environment.handler(exchange.request, writer)
+            } finally {
+                finish(exchange, writer)
+            }
+        }
+    }
+
+    private fun reportFailure(exchange: ServerExchange, failure: Throwable) {
+        val clientLeft = failure is IOException && !context.channel().isActive
+        if (!clientLeft) {
+            environment.onEvent(ServerEvent.HandlerFailed(exchange.request, failure))
+        }
+    }
+
+    private fun finish(exchange: ServerExchange, writer: ConnectionWriter) {
+        running = null
+        when {
+            !context.channel().isActive -> pending.clear()
+            !writer.started -> reject(HttpRejection.HANDLER_FAILED, exchange)
+            !writer.ended -> closeAfterWrites(UnansweredReason.HANDLER_FAILED)
+            !writer.keepAlive -> {
+                pending.forEach { exchanges.fail(it, UnansweredReason.CLOSED_AFTER_RESPONSE) }
+                closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
+            }
+            else -> handleNext()
+        }
+    }
+
+    private fun closeAfterWrites(reason: UnansweredReason) {
+        closing = true
+        closeReason = reason
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
+    }
+
+    /** Responds with [rejection], to [exchange] if it is not null, and closes the connection. */
+    fun reject(rejection: HttpRejection, exchange: ServerExchange? = null) {
+        closing = true
+        closeReason = UnansweredReason.REJECTED
+        context.writeAndFlush(rejection.response(limits.rejectionBody(rejection))).addListener { write ->
+            if (exchange != null && write.isSuccess) exchanges.complete(exchange)
+            context.close()
+        }
+    }
+
+    /** Closes the connection if it has no request. */
+    fun closeIfEmpty() {
+        if (running == null && pending.isEmpty()) {
+            context.close()
+        }
+    }
+
+    /** Closes the connection and aborts its requests. */
+    fun stop() {
+        closeReason = UnansweredReason.SERVER_STOPPED
+        context.close()
+    }
+
+    /** Cancels the request in progress after the connection has closed. */
+    fun cancel() {
+        exchanges.failAll(closeReason ?: UnansweredReason.CLIENT_CLOSED)
+        running?.cancel(CancellationException("the client closed the connection"))
+    }
+
+    private inner class Observer(private val exchange: ServerExchange) : ResponseObserver {
+        override fun begun() {
+            exchange.responseBegun = true
+        }
+
+        override fun written() = exchanges.complete(exchange)
+
+        override fun writeFailed(cause: Throwable) =
+            exchanges.fail(exchange, closeReason ?: UnansweredReason.WRITE_FAILED, cause)
+
+        override fun aborted() {
+            closeReason = UnansweredReason.RESPONSE_ABORTED
+        }
+    }
+}
+
+private fun HttpRejection.response(body: ByteArray): FullHttpResponse {
+    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+    response.headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    return response
+}
--- /dev/null
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -0,0 +1,57 @@
+package comfreypath.transport
+
+import java.time.Duration
+
+/** What an [HttpServer] reports about its requests and connections. */
+sealed interface ServerEvent {
+    /** A request was read completely. Exactly one [ResponseWritten] or [RequestUnanswered] follows for it. */
+    data object RequestRead : ServerEvent
+
+    /** The last byte of a response was written to the connection. */
+    data object ResponseWritten : ServerEvent
+
+    /**
+     * A request that was read completely has no complete response.
+     *
+     * @property age the time since the request was read
+     * @property responseBegun whether a part of the response was written
+     * @property cause the failure that ended the exchange; null if there was none
+     */
+    data class RequestUnanswered(
+        val request: IncomingRequest,
+        val reason: UnansweredReason,
+        val age: Duration,
+        val responseBegun: Boolean,
+        val cause: Throwable?,
+    ) : ServerEvent
+
+    /** The handler of [request] failed with an exception. */
+    data class HandlerFailed(val request: IncomingRequest, val failure: Throwable) : ServerEvent
+
+    /** A connection was closed at once because [openConnections] is the maximum. */
+    data class ConnectionRefused(val openConnections: Int) : ServerEvent
+}
+
+/** Why a request that was read completely has no complete response. */
+enum class UnansweredReason {
+    /** The client closed or reset the connection. */
+    CLIENT_CLOSED,
+
+    /** A write of the response failed. */
+    WRITE_FAILED,
+
+    /** The handler aborted the response. */
+    RESPONSE_ABORTED,
+
+    /** The handler ended before its response was complete. */
+    HANDLER_FAILED,
+
+    /** The request was pipelined after a request whose response closed the connection. */
+    CLOSED_AFTER_RESPONSE,
+
+    /** Later bytes on the connection were not an acceptable request. */
+    REJECTED,
+
+    /** The server stopped. */
+    SERVER_STOPPED,
+}
