Close the connection when a response is written out of order

A caller whose stream had begun could be left waiting: when a second response was written to the same exchange, for example a refusal after a stream had begun, the encoder failed the write, nobody looked at the write's result, and the response counted as ended. The connection stayed open with a half-written chunked response; this request and each later one on the kept connection got nothing. A second response after a complete one was even taken for the answer to the caller's next request.

ConnectionWriter is now a state machine: a part that is out of order closes the connection and fails the handler, which is reported. Each failed write closes the connection and is reported with its reason.

--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
@@ -25,8 +25,8 @@
     /** A write failed; nothing more can be written. */
     fun writeFailed(cause: Throwable)
 
-    /** The handler gives the response up and closes the connection. */
-    fun aborted()
+    /** The response is given up and the connection closes. */
+    fun aborted(reason: UnansweredReason)
 }
 
 /** Writes one response to a server connection; [mayKeepAlive] is false if the connection is to close after it. */
@@ -36,23 +36,24 @@
     private val observer: ResponseObserver,
     private val mayKeepAlive: () -> Boolean,
 ) : ResponseWriter {
+    private var state = State.NEW
     private var closing = false
-    override var started = false
-        private set
+    override val started: Boolean get() = state != State.NEW
     val keepAlive: Boolean get() = !closing && mayKeepAlive()
-    var ended = false
-        private set
+
+    /** True once the response is complete, although it may not have reached the connection yet. */
+    val ended: Boolean get() = state == State.ENDED
 
     override suspend fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteArray) {
+        change(State.NEW, State.ENDED)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
         addHeaders(response, headers)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        begin()
-        ended = true
-        flush(response)
+        begin(response)
     }
 
     override suspend fun start(status: HttpResponseStatus, headers: HttpHeaders, length: Long?) {
+        change(State.NEW, State.STARTED)
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         addHeaders(response, headers)
         if (length == null) {
@@ -60,13 +61,12 @@
         } else {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
         }
-        begin()
-        flush(response)
+        begin(response)
     }
 
-    private fun begin() {
-        started = true
+    private fun begin(response: HttpResponse) {
         observer.begun()
+        flush(response)
     }
 
     private fun addHeaders(response: HttpResponse, headers: HttpHeaders) {
@@ -78,26 +78,39 @@
     }
 
     override suspend fun writeChunk(bytes: ByteArray) {
+        change(State.STARTED, State.STARTED)
         flush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         gate.awaitWritable()
     }
 
     override suspend fun end() {
-        ended = true
+        change(State.STARTED, State.ENDED)
         flush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
-    override fun abort() {
-        started = true
+    override fun abort() = abort(UnansweredReason.RESPONSE_ABORTED)
+
+    private fun abort(reason: UnansweredReason) {
+        state = State.ABORTED
         closing = true
-        observer.aborted()
+        observer.aborted(reason)
         context.close()
     }
 
-    private fun flush(message: Any) {
+    /** Parts in the wrong order would be taken for parts of another response, so that they close the connection. */
+    private fun change(from: State, to: State) {
         if (!context.channel().isActive) {
-            throw IOException("the client closed the connection")
+            throw IOException("the connection is closed")
         }
+        val current = state
+        if (current != from) {
+            abort(UnansweredReason.HANDLER_FAILED)
+            error("a part of a response was written out of order, in state $current")
+        }
+        state = to
+    }
+
+    private fun flush(message: Any) {
         context.writeAndFlush(message).addListener { write ->
             when {
                 !write.isSuccess -> observer.writeFailed(write.cause())
@@ -105,4 +118,6 @@
             }
         }
     }
+
+    private enum class State { NEW, STARTED, ENDED, ABORTED }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 
 private const val MAX_PIPELINED_REQUESTS = 16
 
@@ -134,11 +135,15 @@
 
         override fun written() = exchanges.complete(exchange)
 
-        override fun writeFailed(cause: Throwable) =
-            exchanges.fail(exchange, closeReason ?: UnansweredReason.WRITE_FAILED, cause)
+        override fun writeFailed(cause: Throwable) {
+            val closedBefore = cause is ClosedChannelException
+            val reason = if (closedBefore) UnansweredReason.CLIENT_CLOSED else UnansweredReason.WRITE_FAILED
+            exchanges.fail(exchange, closeReason ?: reason, cause)
+            context.close()
+        }
 
-        override fun aborted() {
-            closeReason = UnansweredReason.RESPONSE_ABORTED
+        override fun aborted(reason: UnansweredReason) {
+            closeReason = reason
         }
     }
 }
