Answer the requests before a rejected one first

Malformed bytes, a request over a limit or one pipelined request too many got their 4xx at once, even while an earlier request was being handled. The caller took the 4xx for the response to that request, and the connection closed under it: a request that had been read completely, and perhaps sent to an endpoint, got no response of its own.

The rejection is now queued behind the requests that were read before it, and nothing after it is read.

--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -30,14 +30,15 @@
     private val exchanges = OpenExchanges(environment.clock, environment.onEvent)
     private val pending = ArrayDeque<ServerExchange>()
     private var running: Job? = null
+    private var rejected: Rejected? = null
+    private var closing = false
     private var closeReason: UnansweredReason? = null
 
-    /** True once no further request is accepted. */
-    var closing = false
-        private set
+    /** False once the connection will close, so that no further request is accepted. */
+    val accepting: Boolean get() = !closing && rejected == null
 
     /** True while a request is handled. */
-    val busy: Boolean get() = running != null || closing
+    val busy: Boolean get() = running != null || !accepting
 
     /** Adds a request that was read completely. */
     fun add(complete: Aggregation.Complete) {
@@ -46,16 +47,27 @@
             pending.addLast(exchange)
             handleNext()
         } else {
-            reject(HttpRejection.MALFORMED)
+            rejected = Rejected(HttpRejection.MALFORMED, exchange)
         }
     }
 
+    /** Rejects what was received after the last request, once the requests before it have their responses. */
+    fun reject(rejection: HttpRejection) {
+        rejected = Rejected(rejection, exchange = null)
+        handleNext()
+    }
+
     private fun handleNext() {
         if (running != null) {
             return
         }
         val next = pending.removeFirstOrNull()
-        if (next == null) onEmpty() else handle(next)
+        val rejection = rejected
+        when {
+            next != null -> handle(next)
+            rejection != null -> respond(rejection)
+            else -> onEmpty()
+        }
     }
 
     private fun handle(exchange: ServerExchange) {
@@ -83,7 +95,7 @@
         running = null
         when {
             !context.channel().isActive -> pending.clear()
-            !writer.started -> reject(HttpRejection.HANDLER_FAILED, exchange)
+            !writer.started -> respond(Rejected(HttpRejection.HANDLER_FAILED, exchange))
             !writer.ended -> closeAfterWrites(UnansweredReason.HANDLER_FAILED)
             !writer.keepAlive -> {
                 pending.forEach { exchanges.fail(it, UnansweredReason.CLOSED_AFTER_RESPONSE) }
@@ -99,12 +111,12 @@
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
     }
 
-    /** Responds with [rejection], to [exchange] if it is not null, and closes the connection. */
-    fun reject(rejection: HttpRejection, exchange: ServerExchange? = null) {
+    private fun respond(rejected: Rejected) {
         closing = true
-        closeReason = UnansweredReason.REJECTED
+        closeReason = UnansweredReason.CLOSED_AFTER_RESPONSE
+        val rejection = rejected.rejection
         context.writeAndFlush(rejection.response(limits.rejectionBody(rejection))).addListener { write ->
-            if (exchange != null && write.isSuccess) exchanges.complete(exchange)
+            if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
             context.close()
         }
     }
@@ -128,6 +140,9 @@
         running?.cancel(CancellationException("the client closed the connection"))
     }
 
+    /** A rejection, as the response to [exchange] or, if that is null, to bytes that are not a request. */
+    private class Rejected(val rejection: HttpRejection, val exchange: ServerExchange?)
+
     private inner class Observer(private val exchange: ServerExchange) : ResponseObserver {
         override fun begun() {
             exchange.responseBegun = true
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -23,7 +23,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (requests.closing) {
+        if (!requests.accepting) {
             return
         }
         when (val aggregation = aggregator.add(context, message)) {
--- a/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -49,9 +49,6 @@
     /** The request was pipelined after a request whose response closed the connection. */
     CLOSED_AFTER_RESPONSE,
 
-    /** Later bytes on the connection were not an acceptable request. */
-    REJECTED,
-
     /** The server stopped. */
     SERVER_STOPPED,
 }
