Answer the requests that were read before the server closes connections

While the server closes connections after their next response, as during a stop, the first response on a connection carried Connection: close and the requests already read behind it were dropped without an answer and without a line. A failed handler did the same to the requests behind its own.

Connection: close now goes with the response to the last request that has been read; requests before it keep the connection. A 500 for a failed handler closes the connection only if no request waits behind it. Requests that a client sends after its own Connection: close, or after the server's, are still not handled, and are reported as closed_after_response. ConnectionCloser keeps the reason of a close.

--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
@@ -25,7 +25,7 @@
     /** A write failed; nothing more can be written. */
     fun writeFailed(cause: Throwable)
 
-    /** The response is given up and the connection closes. */
+    /** The response is given up; the connection must close. */
     fun aborted(reason: UnansweredReason)
 }
 
@@ -37,9 +37,11 @@
     private val mayKeepAlive: () -> Boolean,
 ) : ResponseWriter {
     private var state = State.NEW
-    private var closing = false
     override val started: Boolean get() = state != State.NEW
-    val keepAlive: Boolean get() = !closing && mayKeepAlive()
+
+    /** True if the client was told that the connection closes after this response. */
+    var closing = false
+        private set
 
     /** True once the response is complete, although it may not have reached the connection yet. */
     val ended: Boolean get() = state == State.ENDED
@@ -71,7 +73,7 @@
 
     private fun addHeaders(response: HttpResponse, headers: HttpHeaders) {
         response.headers().add(headers)
-        if (!keepAlive) {
+        if (!mayKeepAlive()) {
             closing = true
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
@@ -94,7 +96,6 @@
         state = State.ABORTED
         closing = true
         observer.aborted(reason)
-        context.close()
     }
 
     /** Parts in the wrong order would be taken for parts of another response, so that they close the connection. */
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -31,11 +32,12 @@
     private val pending = ArrayDeque<ServerExchange>()
     private var running: Job? = null
     private var rejected: Rejected? = null
-    private var closing = false
-    private var closeReason: UnansweredReason? = null
+    private val closer = ConnectionCloser(context)
 
     /** False once the connection will close, so that no further request is accepted. */
-    val accepting: Boolean get() = !closing && rejected == null
+    val accepting: Boolean get() = !closer.closing && rejected == null
+
+    private val hasNext: Boolean get() = pending.isNotEmpty() || rejected != null
 
     /** True while a request is handled. */
     val busy: Boolean get() = running != null || !accepting
@@ -72,7 +74,7 @@
 
     private fun handle(exchange: ServerExchange) {
         val writer = ConnectionWriter(context, gate, Observer(exchange)) {
-            exchange.keepAlive && environment.mayKeepAlive()
+            exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
         val onFailure = CoroutineExceptionHandler { _, failure -> reportFailure(exchange, failure) }
         running = environment.scope.launch(onFailure) {
@@ -95,48 +97,35 @@
         running = null
         when {
             !context.channel().isActive -> pending.clear()
-            !writer.started -> respond(Rejected(HttpRejection.HANDLER_FAILED, exchange))
-            !writer.ended -> closeAfterWrites(UnansweredReason.HANDLER_FAILED)
-            !writer.keepAlive -> {
-                pending.forEach { exchanges.fail(it, UnansweredReason.CLOSED_AFTER_RESPONSE) }
-                closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
-            }
+            !writer.started -> respond(Rejected(HttpRejection.HANDLER_FAILED, exchange), exchange.keepAlive && hasNext)
+            !writer.ended -> closer.closeAfterWrites(UnansweredReason.HANDLER_FAILED)
+            writer.closing -> closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
             else -> handleNext()
         }
     }
 
-    private fun closeAfterWrites(reason: UnansweredReason) {
-        closing = true
-        closeReason = reason
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
-    }
-
-    private fun respond(rejected: Rejected) {
-        closing = true
-        closeReason = UnansweredReason.CLOSED_AFTER_RESPONSE
+    private fun respond(rejected: Rejected, keepAlive: Boolean = false) {
         val rejection = rejected.rejection
-        context.writeAndFlush(rejection.response(limits.rejectionBody(rejection))).addListener { write ->
+        val response = rejection.response(limits.rejectionBody(rejection), keepAlive)
+        context.writeAndFlush(response).addListener { write ->
             if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
-            context.close()
         }
+        if (keepAlive) handleNext() else closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
     }
 
     /** Closes the connection if it has no request. */
     fun closeIfEmpty() {
         if (running == null && pending.isEmpty()) {
-            context.close()
+            closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
         }
     }
 
     /** Closes the connection and aborts its requests. */
-    fun stop() {
-        closeReason = UnansweredReason.SERVER_STOPPED
-        context.close()
-    }
+    fun stop() = closer.close(UnansweredReason.SERVER_STOPPED)
 
     /** Cancels the request in progress after the connection has closed. */
     fun cancel() {
-        exchanges.failAll(closeReason ?: UnansweredReason.CLIENT_CLOSED)
+        exchanges.failAll(closer.reason ?: UnansweredReason.CLIENT_CLOSED)
         running?.cancel(CancellationException("the client closed the connection"))
     }
 
@@ -153,21 +142,19 @@
         override fun writeFailed(cause: Throwable) {
             val closedBefore = cause is ClosedChannelException
             val reason = if (closedBefore) UnansweredReason.CLIENT_CLOSED else UnansweredReason.WRITE_FAILED
-            exchanges.fail(exchange, closeReason ?: reason, cause)
-            context.close()
+            exchanges.fail(exchange, closer.reason ?: reason, cause)
+            closer.close(reason)
         }
 
-        override fun aborted(reason: UnansweredReason) {
-            closeReason = reason
-        }
+        override fun aborted(reason: UnansweredReason) = closer.close(reason)
     }
 }
 
-private fun HttpRejection.response(body: ByteArray): FullHttpResponse {
+private fun HttpRejection.response(body: ByteArray, keepAlive: Boolean): FullHttpResponse {
     val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
     response.headers()
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    HttpUtil.setKeepAlive(response, keepAlive)
     return response
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -18,7 +18,11 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, limits, pipeline.gate) {
-            if (!aggregator.receiving) pipeline.timer.awaitRequest(context)
+            if (environment.mayKeepAlive()) {
+                if (!aggregator.receiving) pipeline.timer.awaitRequest(context)
+            } else {
+                closeIfIdle()
+            }
         }
     }
 
--- a/transport/src/test/kotlin/comfreypath/transport/PipeliningTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/PipeliningTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
@@ -12,8 +13,9 @@
 class PipeliningTest {
     private val gate = CompletableDeferred<Unit>()
 
-    private fun serve(test: ServerFixture.() -> Unit) = ServerFixture { request, writer ->
+    private fun serve(failingPath: String? = null, test: ServerFixture.() -> Unit) = ServerFixture { request, writer ->
         gate.await()
+        check(request.path != failingPath) { "broken" }
         writer.respond(HttpResponseStatus.OK, emptyMap(), request.path.encodeToByteArray())
     }.run(test)
 
@@ -49,6 +51,33 @@
         expectThat(count(ServerEvent.ResponseWritten)).isEqualTo(18)
     }
 
+    @Test
+    fun `requests that were read before the server closes connections are answered`() = serve {
+        RawClient(address).use { client ->
+            repeat(3) { client.get("/$it") }
+            awaitRead(3)
+            onLoop { server.closeAfterResponse = true }
+            gate.complete(Unit)
+            val responses = List(3) { client.read() }
+            expectThat(responses.map { it?.body }).containsExactly("/0", "/1", "/2")
+            expectThat(responses.map { it?.headers?.get("connection") }).containsExactly(null, null, "close")
+            expectThat(client.awaitEnd()).isTrue()
+        }
+        awaitAccounts()
+        expectThat(count(ServerEvent.ResponseWritten)).isEqualTo(3)
+    }
+
+    @Test
+    fun `a failed handler does not cost the requests behind its own their responses`() = serve(failingPath = "/0") {
+        RawClient(address).use { client ->
+            repeat(3) { client.get("/$it") }
+            awaitRead(3)
+            gate.complete(Unit)
+            expectThat(List(3) { client.read()?.status }).containsExactly(500, 200, 200)
+        }
+        awaitAccounts()
+    }
+
     @Test
     fun `a request after the client has announced its last one is reported and not handled`() = serve {
         RawClient(address).use { client ->
