Keep a connection open until its response has been sent

A caller that reads slowly got a truncated response: the response counted as over once the server had handed it to the connection's buffer, and from then on the connection was idle. Closing idle connections, every 20 ms during a stop, or the idle timeout cut off what was still in the buffer, without a line.

An exchange is now over when its last byte has been written. Only then does the next request on the connection start, which also bounds the buffer, and the idle timeout.

On the code before, a response of 8,000,000 bytes is incomplete after closeIdle() and after an idle timeout of 100 ms. A test that expected HandlerFailed together with the response now waits for it, as their order is not defined.

--- a/transport/src/main/kotlin/comfreypath/transport/OpenExchanges.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/OpenExchanges.kt
@@ -13,8 +13,8 @@
 internal class OpenExchanges(private val clock: InstantSource, private val onEvent: (ServerEvent) -> Unit) {
     private val open = LinkedHashSet<ServerExchange>()
 
-    /** True if each request has its complete response. */
-    val isEmpty: Boolean get() = open.isEmpty()
+    /** True while [exchange] has no complete response. */
+    operator fun contains(exchange: ServerExchange): Boolean = exchange in open
 
     /** Adds a request that was read completely. */
     fun add(complete: Aggregation.Complete): ServerExchange {
@@ -39,6 +39,7 @@
         }
     }
 
-    /** Removes all exchanges, none of which gets a complete response. */
-    fun failAll(reason: UnansweredReason) = open.toList().forEach { fail(it, reason) }
+    /** Removes all exchanges other than [except]; none of them gets a complete response. */
+    fun failAll(reason: UnansweredReason, except: ServerExchange? = null) =
+        open.filter { it != except }.forEach { fail(it, reason) }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -31,16 +31,21 @@
     private val exchanges = OpenExchanges(environment.clock, environment.onEvent)
     private val pending = ArrayDeque<ServerExchange>()
     private var running: Job? = null
+    private var flushing: ServerExchange? = null
     private var rejected: Rejected? = null
     private val closer = ConnectionCloser(context)
+    private val writeTimer =
+        WriteTimer(context, limits.writeTimeout) { closer.close(UnansweredReason.WRITE_TIMED_OUT) }
 
     /** False once the connection will close, so that no further request is accepted. */
     val accepting: Boolean get() = !closer.closing && rejected == null
 
     private val hasNext: Boolean get() = pending.isNotEmpty() || rejected != null
 
-    /** True while a request is handled. */
-    val busy: Boolean get() = running != null || !accepting
+    private val responding: Boolean get() = running != null || flushing != null
+
+    /** True while a request is handled or its response is being sent. */
+    val busy: Boolean get() = responding || !accepting
 
     /** Adds a request that was read completely. */
     fun add(complete: Aggregation.Complete) {
@@ -60,7 +65,7 @@
     }
 
     private fun handleNext() {
-        if (running != null) {
+        if (responding) {
             return
         }
         val next = pending.removeFirstOrNull()
@@ -76,7 +81,10 @@
         val writer = ConnectionWriter(context, gate, Observer(exchange)) {
             exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
-        val onFailure = CoroutineExceptionHandler { _, failure -> reportFailure(exchange, failure) }
+        val onFailure = CoroutineExceptionHandler { _, failure ->
+            val clientLeft = failure is IOException && !context.channel().isActive
+            if (!clientLeft) environment.onEvent(ServerEvent.HandlerFailed(exchange.request, failure))
+        }
         running = environment.scope.launch(onFailure) {
             try {
                 environment.handler(exchange.request, writer)
@@ -86,37 +94,40 @@
         }
     }
 
-    private fun reportFailure(exchange: ServerExchange, failure: Throwable) {
-        val clientLeft = failure is IOException && !context.channel().isActive
-        if (!clientLeft) {
-            environment.onEvent(ServerEvent.HandlerFailed(exchange.request, failure))
-        }
-    }
-
     private fun finish(exchange: ServerExchange, writer: ConnectionWriter) {
         running = null
         when {
             !context.channel().isActive -> pending.clear()
             !writer.started -> respond(Rejected(HttpRejection.HANDLER_FAILED, exchange), exchange.keepAlive && hasNext)
             !writer.ended -> closer.closeAfterWrites(UnansweredReason.HANDLER_FAILED)
-            writer.closing -> closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
+            writer.closing -> closeAfterResponse(exchange)
+            exchange in exchanges -> {
+                flushing = exchange
+                writeTimer.start()
+            }
             else -> handleNext()
         }
     }
 
+    private fun closeAfterResponse(last: ServerExchange?) {
+        exchanges.failAll(UnansweredReason.CLOSED_AFTER_RESPONSE, except = last)
+        closer.closeAfterWrites()
+        writeTimer.start()
+    }
+
     private fun respond(rejected: Rejected, keepAlive: Boolean = false) {
         val rejection = rejected.rejection
         val response = rejection.response(limits.rejectionBody(rejection), keepAlive)
         context.writeAndFlush(response).addListener { write ->
             if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
         }
-        if (keepAlive) handleNext() else closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
+        if (keepAlive) handleNext() else closeAfterResponse(rejected.exchange)
     }
 
     /** Closes the connection if it has no request. */
     fun closeIfEmpty() {
-        if (running == null && pending.isEmpty()) {
-            closer.closeAfterWrites(UnansweredReason.CLOSED_AFTER_RESPONSE)
+        if (!responding && pending.isEmpty()) {
+            closer.closeAfterWrites()
         }
     }
 
@@ -125,6 +136,7 @@
 
     /** Cancels the request in progress after the connection has closed. */
     fun cancel() {
+        writeTimer.stop()
         exchanges.failAll(closer.reason ?: UnansweredReason.CLIENT_CLOSED)
         running?.cancel(CancellationException("the client closed the connection"))
     }
@@ -137,12 +149,20 @@
             exchange.responseBegun = true
         }
 
-        override fun written() = exchanges.complete(exchange)
+        override fun written() {
+            exchanges.complete(exchange)
+            if (flushing == exchange) {
+                flushing = null
+                writeTimer.stop()
+                handleNext()
+            }
+        }
 
         override fun writeFailed(cause: Throwable) {
             val closedBefore = cause is ClosedChannelException
-            val reason = if (closedBefore) UnansweredReason.CLIENT_CLOSED else UnansweredReason.WRITE_FAILED
-            exchanges.fail(exchange, closer.reason ?: reason, cause)
+            val reason =
+                if (closedBefore) closer.reason ?: UnansweredReason.CLIENT_CLOSED else UnansweredReason.WRITE_FAILED
+            exchanges.fail(exchange, reason, cause)
             closer.close(reason)
         }
 
--- a/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -40,6 +40,9 @@
     /** A write of the response failed. */
     WRITE_FAILED,
 
+    /** The client read nothing of the response for too long. */
+    WRITE_TIMED_OUT,
+
     /** The handler aborted the response. */
     RESPONSE_ABORTED,
 
--- /dev/null
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -0,0 +1,47 @@
+package comfreypath.transport
+
+import io.netty.handler.codec.http.HttpResponseStatus
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.time.Duration
+
+private const val LARGE_BODY_BYTES = 8_000_000
+private const val SMALL_RECEIVE_BUFFER = 4_096
+
+class ConnectionCloseTest {
+    private fun slowReader(options: HttpServerOptions, beforeRead: ServerFixture.() -> Unit) =
+        ServerFixture(options) { _, writer ->
+            writer.respond(HttpResponseStatus.OK, emptyMap(), ByteArray(LARGE_BODY_BYTES) { 'a'.code.toByte() })
+        }.run {
+            RawClient(address, SMALL_RECEIVE_BUFFER).use { client ->
+                client.get("/")
+                eventually("the request is read") { count(ServerEvent.RequestRead) == 1 }
+                Thread.sleep(50)
+                beforeRead()
+                expectThat(client.read()?.body?.length).isEqualTo(LARGE_BODY_BYTES)
+            }
+            awaitAccounts()
+            expectThat(count(ServerEvent.ResponseWritten)).isEqualTo(1)
+        }
+
+    @Test
+    fun `closing idle connections does not cut off a response that the client still reads`() =
+        slowReader(HttpServerOptions()) { onLoop { server.closeIdle() } }
+
+    @Test
+    fun `the idle timeout does not cut off a response that the client still reads`() =
+        slowReader(HttpServerOptions(idleTimeout = Duration.ofMillis(100))) { Thread.sleep(400) }
+
+    @Test
+    fun `a client that reads nothing of its response does not keep the connection forever`() =
+        ServerFixture(HttpServerOptions(writeTimeout = Duration.ofMillis(100))) { _, writer ->
+            writer.respond(HttpResponseStatus.OK, emptyMap(), ByteArray(LARGE_BODY_BYTES))
+        }.run {
+            RawClient(address, SMALL_RECEIVE_BUFFER).use { client ->
+                client.get("/")
+                eventually("the response is given up") { unanswered.isNotEmpty() }
+                expectThat(unanswered.single().reason).isEqualTo(UnansweredReason.WRITE_TIMED_OUT)
+            }
+        }
+}
--- a/transport/src/test/kotlin/comfreypath/transport/ServerEventsTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ServerEventsTest.kt
@@ -72,6 +72,7 @@
                 expectThat(client.read()?.status).isEqualTo(500)
             }
             awaitAccounts()
+            eventually("the failure is reported") { events.any { it is ServerEvent.HandlerFailed } }
             expectThat(events.filterIsInstance<ServerEvent.HandlerFailed>()).single()
                 .get { failure.message }.isEqualTo("broken")
             expectThat(count(ServerEvent.ResponseWritten)).isEqualTo(1)
