Time and keep a request of which only some bytes have been read

Whether a request was partly received was known in two places, and each had gaps. A request that stopped half-way while another one was handled never timed out: its timeout was ignored or not started, and the caller got no 408.

The decoder now tells whether it holds a part of a request, also if the bytes came together with the request before. ReceiveTimer is the one place that says so, times the next request also while another one is handled, and the 408 waits for the responses before it.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -7,9 +7,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -98,24 +95,14 @@
             }
             connections.add(channel)
             val gate = WriteGate()
-            val timer = ReceiveTimer(limits)
+            val decoder = StrictRequestDecoder(limits.maxHeaderBytes)
+            val timer = ReceiveTimer(limits) { decoder.partial }
             channel.pipeline()
                 .addLast(timer)
-                .addLast(StrictRequestDecoder(limits.maxHeaderBytes))
+                .addLast(decoder)
                 .addLast(HttpResponseEncoder())
                 .addLast(gate)
                 .addLast(ServerConnection(environment, limits, PipelineHandlers(gate, timer)))
         }
     }
 }
-
-/**
- * Rejects requests that have both Content-Length and Transfer-Encoding: chunked, since two parsers may disagree on
- * where the body ends (request smuggling).
- */
-private class StrictRequestDecoder(maxHeaderBytes: Int) :
-    HttpRequestDecoder(HttpDecoderConfig().setMaxHeaderSize(maxHeaderBytes).setMaxInitialLineLength(maxHeaderBytes)) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        throw IllegalArgumentException("Transfer-Encoding and Content-Length are both set")
-    }
-}
--- a/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
@@ -18,37 +18,43 @@
 /**
  * Enforces timeouts on what a client sends over one connection: on the headers from their first byte, on each pause in
  * a body, and on the idle time between requests. It precedes the decoder in the pipeline, since only there the first
- * byte of a request is visible.
+ * byte of a request is visible. The next request is timed also while the one before is handled.
+ *
+ * @param partial whether the decoder has a part of a request
  */
-internal class ReceiveTimer(private val options: HttpServerOptions) : ChannelInboundHandlerAdapter() {
-    private var receiving = false
-    private var responding = false
+internal class ReceiveTimer(private val options: HttpServerOptions, private val partial: () -> Boolean) :
+    ChannelInboundHandlerAdapter() {
     private var timeout: Future<*>? = null
 
+    /** True while a request has been received only partly. */
+    var receiving = false
+        private set
+
     override fun handlerAdded(context: ChannelHandlerContext) = arm(context, options.idleTimeout, ReceiveTimeout.IDLE)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (!receiving && !responding) {
+        super.channelRead(context, message)
+        if (!receiving && partial()) {
             receiving = true
             arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
         }
-        super.channelRead(context, message)
     }
 
     /** Restarts the receive timeout after a part of a request. */
-    fun partReceived(context: ChannelHandlerContext) = arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
+    fun partReceived(context: ChannelHandlerContext) {
+        receiving = true
+        arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
+    }
 
     /** Stops the timeout after a complete request, while the request is handled. */
     fun requestReceived() {
         receiving = false
-        responding = true
         timeout?.cancel(false)
     }
 
     /** Starts the idle timeout, while the connection waits for the next request. */
     fun awaitRequest(context: ChannelHandlerContext) {
-        responding = false
-        arm(context, options.idleTimeout, ReceiveTimeout.IDLE)
+        if (!receiving) arm(context, options.idleTimeout, ReceiveTimeout.IDLE)
     }
 
     private fun arm(context: ChannelHandlerContext, after: Duration, event: ReceiveTimeout) {
--- a/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
@@ -30,9 +30,6 @@
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream()
 
-    /** True while a request has been received only partly. */
-    val receiving: Boolean get() = head != null
-
     /** Adds the next part. */
     fun add(context: ChannelHandlerContext, message: HttpObject): Aggregation {
         val failure = message.decoderResult().cause()
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -42,10 +42,8 @@
 
     private val hasNext: Boolean get() = pending.isNotEmpty() || rejected != null
 
-    private val responding: Boolean get() = running != null || flushing != null
-
     /** True while a request is handled or its response is being sent. */
-    val busy: Boolean get() = responding || !accepting
+    private val responding: Boolean get() = running != null || flushing != null
 
     /** Adds a request that was read completely. */
     fun add(complete: Aggregation.Complete) {
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -18,11 +18,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, limits, pipeline.gate) {
-            if (environment.mayKeepAlive()) {
-                if (!aggregator.receiving) pipeline.timer.awaitRequest(context)
-            } else {
-                closeIfIdle()
-            }
+            if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
         }
     }
 
@@ -39,7 +35,7 @@
 
     /** Closes the connection unless a request is being received or handled. */
     fun closeIfIdle() {
-        if (!aggregator.receiving) requests.closeIfEmpty()
+        if (!pipeline.timer.receiving) requests.closeIfEmpty()
     }
 
     /** Closes the connection and aborts its requests. */
@@ -48,7 +44,7 @@
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
             ReceiveTimeout.IDLE -> closeIfIdle()
-            ReceiveTimeout.REQUEST -> if (!requests.busy) requests.reject(HttpRejection.TOO_SLOW)
+            ReceiveTimeout.REQUEST -> if (requests.accepting) requests.reject(HttpRejection.TOO_SLOW)
             else -> super.userEventTriggered(context, event)
         }
     }
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -10,6 +10,9 @@
 private const val SMALL_RECEIVE_BUFFER = 4_096
 
 class ConnectionCloseTest {
+    private suspend fun respond(request: IncomingRequest, writer: ResponseWriter) =
+        writer.respond(HttpResponseStatus.OK, emptyMap(), request.path.encodeToByteArray())
+
     private fun slowReader(options: HttpServerOptions, beforeRead: ServerFixture.() -> Unit) =
         ServerFixture(options) { _, writer ->
             writer.respond(HttpResponseStatus.OK, emptyMap(), ByteArray(LARGE_BODY_BYTES) { 'a'.code.toByte() })
@@ -44,4 +47,28 @@
                 expectThat(unanswered.single().reason).isEqualTo(UnansweredReason.WRITE_TIMED_OUT)
             }
         }
+
+    @Test
+    fun `closing idle connections spares a request whose head is not complete`() =
+        ServerFixture(handler = ::respond).run {
+            RawClient(address).use { client ->
+                client.send("GET /1 HTTP/1.1\r\nHo")
+                Thread.sleep(50)
+                onLoop { server.closeIdle() }
+                client.send("st: a\r\n\r\n")
+                expectThat(client.read()?.body).isEqualTo("/1")
+            }
+        }
+
+    @Test
+    fun `closing idle connections spares a request whose first bytes came with the one before`() =
+        ServerFixture(handler = ::respond).run {
+            RawClient(address).use { client ->
+                client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\n")
+                expectThat(client.read()?.body).isEqualTo("/1")
+                onLoop { server.closeIdle() }
+                client.send("Host: a\r\n\r\n")
+                expectThat(client.read()?.body).isEqualTo("/2")
+            }
+        }
 }
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
@@ -84,7 +84,7 @@
                 awaitCancellation()
             },
         )
-        val timer = ReceiveTimer(HttpServerOptions())
+        val timer = ReceiveTimer(HttpServerOptions()) { false }
         val connection = ServerConnection(environment, HttpServerOptions(), PipelineHandlers(WriteGate(), timer))
         val channel = EmbeddedChannel(FailingWrites(), connection)
         channel.writeInbound(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
