Apply changed limits to connections that are already open

The idle timeout, the receive timeout and the largest body were fixed when a connection opened. After a configuration that allows callers a longer idle time, kept connections still closed by the old one, under callers that relied on the new one; a request that crossed the close got no answer.

Limits are now looked up when they are used: when the idle timer fires, the connection waits for the rest of a timeout that has grown, and the largest body is that at the start of each request. The size of headers stays fixed in the decoder of an open connection.

--- a/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
@@ -16,7 +16,7 @@
         rejectionBody = { dialect.encode(Refusal(RefusalCode.BAD_INPUT, it.detail), null).body },
     )
 
-    /** The limits for a new connection; defaults while no configuration is known. */
+    /** The limits in force; defaults while no configuration is known. */
     fun current(): HttpServerOptions = view.configuration.current?.value?.limits?.let { limits ->
         defaults.copy(
             maxConnections = maxConnections(),
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -20,7 +20,8 @@
 /**
  * An HTTP/1.1 server whose connections and handlers all run on one event loop.
  *
- * @param options provides the limits for each connection when it opens, so that they can change while the server runs
+ * @param options provides the limits in force, which can change while the server runs; only a change of
+ * [HttpServerOptions.maxHeaderBytes] does not apply to connections that are already open
  * @param clock measures the age of requests
  * @param onEvent is called with each event of a request or connection, on the loop's thread
  */
@@ -96,13 +97,13 @@
             connections.add(channel)
             val gate = WriteGate()
             val decoder = StrictRequestDecoder(limits.maxHeaderBytes)
-            val timer = ReceiveTimer(limits) { decoder.partial }
+            val timer = ReceiveTimer(options, environment.clock) { decoder.partial }
             channel.pipeline()
                 .addLast(timer)
                 .addLast(decoder)
                 .addLast(HttpResponseEncoder())
                 .addLast(gate)
-                .addLast(ServerConnection(environment, limits, PipelineHandlers(gate, timer)))
+                .addLast(ServerConnection(environment, PipelineHandlers(gate, timer)))
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.util.concurrent.Future
 import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
 import java.util.concurrent.TimeUnit
 
 /** The events that [ReceiveTimer] fires through the pipeline. */
@@ -22,28 +24,30 @@
  *
  * @param partial whether the decoder has a part of a request
  */
-internal class ReceiveTimer(private val options: HttpServerOptions, private val partial: () -> Boolean) :
-    ChannelInboundHandlerAdapter() {
+internal class ReceiveTimer(
+    private val options: () -> HttpServerOptions,
+    private val clock: InstantSource,
+    private val partial: () -> Boolean,
+) : ChannelInboundHandlerAdapter() {
     private var timeout: Future<*>? = null
 
     /** True while a request has been received only partly. */
     var receiving = false
         private set
 
-    override fun handlerAdded(context: ChannelHandlerContext) = arm(context, options.idleTimeout, ReceiveTimeout.IDLE)
+    override fun handlerAdded(context: ChannelHandlerContext) = awaitRequest(context)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         super.channelRead(context, message)
         if (!receiving && partial()) {
-            receiving = true
-            arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
+            partReceived(context)
         }
     }
 
     /** Restarts the receive timeout after a part of a request. */
     fun partReceived(context: ChannelHandlerContext) {
         receiving = true
-        arm(context, options.receiveTimeout, ReceiveTimeout.REQUEST)
+        arm(context, options().receiveTimeout) { fire(context, ReceiveTimeout.REQUEST) }
     }
 
     /** Stops the timeout after a complete request, while the request is handled. */
@@ -54,16 +58,26 @@
 
     /** Starts the idle timeout, while the connection waits for the next request. */
     fun awaitRequest(context: ChannelHandlerContext) {
-        if (!receiving) arm(context, options.idleTimeout, ReceiveTimeout.IDLE)
+        if (!receiving) armIdle(context, idleSince = clock.instant())
     }
 
-    private fun arm(context: ChannelHandlerContext, after: Duration, event: ReceiveTimeout) {
+    /** The timeout may have grown since the connection became idle. */
+    private fun armIdle(context: ChannelHandlerContext, idleSince: Instant) {
+        val rest = Duration.between(clock.instant(), idleSince + options().idleTimeout)
+        if (rest > Duration.ZERO) {
+            arm(context, rest) { armIdle(context, idleSince) }
+        } else {
+            fire(context, ReceiveTimeout.IDLE)
+        }
+    }
+
+    private fun fire(context: ChannelHandlerContext, event: ReceiveTimeout) {
+        context.pipeline().fireUserEventTriggered(event)
+    }
+
+    private fun arm(context: ChannelHandlerContext, after: Duration, action: () -> Unit) {
         timeout?.cancel(false)
-        timeout = context.executor().schedule(
-            { context.pipeline().fireUserEventTriggered(event) },
-            after.toMillis(),
-            TimeUnit.MILLISECONDS,
-        )
+        timeout = context.executor().schedule(action, after.toNanos(), TimeUnit.NANOSECONDS)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
@@ -26,9 +26,10 @@
 }
 
 /** Assembles the requests on one connection from their parts. */
-internal class RequestAggregator(private val maxBodyBytes: Int, private val timer: ReceiveTimer) {
+internal class RequestAggregator(private val maxBodyBytes: () -> Int, private val timer: ReceiveTimer) {
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream()
+    private var bodyLimit = maxBodyBytes()
 
     /** Adds the next part. */
     fun add(context: ChannelHandlerContext, message: HttpObject): Aggregation {
@@ -45,6 +46,7 @@
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
         head = request
         body = ByteArrayOutputStream()
+        bodyLimit = maxBodyBytes()
         timer.partReceived(context)
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -55,7 +57,7 @@
         val bytes = content.content()
         val request = head
         return when {
-            body.size() + bytes.readableBytes() > maxBodyBytes -> Aggregation.Rejected(HttpRejection.BODY_TOO_LARGE)
+            body.size() + bytes.readableBytes() > bodyLimit -> Aggregation.Rejected(HttpRejection.BODY_TOO_LARGE)
             request == null -> Aggregation.Incomplete
             else -> {
                 bytes.readBytes(body, bytes.readableBytes())
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -24,7 +24,6 @@
 internal class RequestQueue(
     private val context: ChannelHandlerContext,
     private val environment: ServerEnvironment,
-    private val limits: HttpServerOptions,
     private val gate: WriteGate,
     private val onEmpty: () -> Unit,
 ) {
@@ -35,7 +34,7 @@
     private var rejected: Rejected? = null
     private val closer = ConnectionCloser(context)
     private val writeTimer =
-        WriteTimer(context, limits.writeTimeout) { closer.close(UnansweredReason.WRITE_TIMED_OUT) }
+        WriteTimer(context, { environment.options().writeTimeout }) { closer.close(UnansweredReason.WRITE_TIMED_OUT) }
 
     /** False once the connection will close, so that no further request is accepted. */
     val accepting: Boolean get() = !closer.closing && rejected == null
@@ -115,7 +114,7 @@
 
     private fun respond(rejected: Rejected, keepAlive: Boolean = false) {
         val rejection = rejected.rejection
-        val response = rejection.response(limits.rejectionBody(rejection), keepAlive)
+        val response = rejection.response(environment.options().rejectionBody(rejection), keepAlive)
         context.writeAndFlush(response).addListener { write ->
             if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
         }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -10,14 +10,13 @@
 /** One server connection: assembles requests and adds them to its [RequestQueue]. */
 internal class ServerConnection(
     private val environment: ServerEnvironment,
-    private val limits: HttpServerOptions,
     private val pipeline: PipelineHandlers,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private val aggregator = RequestAggregator(limits.maxBodyBytes, pipeline.timer)
+    private val aggregator = RequestAggregator({ environment.options().maxBodyBytes }, pipeline.timer)
     private lateinit var requests: RequestQueue
 
     override fun handlerAdded(context: ChannelHandlerContext) {
-        requests = RequestQueue(context, environment, limits, pipeline.gate) {
+        requests = RequestQueue(context, environment, pipeline.gate) {
             if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
         }
     }
--- a/transport/src/main/kotlin/comfreypath/transport/WriteTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/WriteTimer.kt
@@ -8,7 +8,7 @@
 /** Calls [onTimeout] when a client reads nothing of a complete response for [timeout]. */
 internal class WriteTimer(
     private val context: ChannelHandlerContext,
-    private val timeout: Duration,
+    private val timeout: () -> Duration,
     private val onTimeout: () -> Unit,
 ) {
     private var waitingBytes = Long.MAX_VALUE
@@ -17,7 +17,7 @@
     /** Starts to watch the bytes that wait to be sent. */
     fun start() {
         waitingBytes = waiting()
-        check = context.executor().schedule(::check, timeout.toMillis(), TimeUnit.MILLISECONDS)
+        check = context.executor().schedule(::check, timeout().toMillis(), TimeUnit.MILLISECONDS)
     }
 
     /** Stops, because the response is written or the connection has closed. */
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
@@ -84,8 +84,8 @@
                 awaitCancellation()
             },
         )
-        val timer = ReceiveTimer(HttpServerOptions()) { false }
-        val connection = ServerConnection(environment, HttpServerOptions(), PipelineHandlers(WriteGate(), timer))
+        val timer = ReceiveTimer(environment.options, environment.clock) { false }
+        val connection = ServerConnection(environment, PipelineHandlers(WriteGate(), timer))
         val channel = EmbeddedChannel(FailingWrites(), connection)
         channel.writeInbound(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
         expectThat(channel.isOpen).isFalse()
