Keep reading for a moment after a rejection before closing

A caller that was still sending when the router rejected its request, for example a body over the limit, often saw a reset connection in place of the 413: closing a socket with unread bytes resets it, and the reset can destroy the response on its way. The caller could not tell that its request was refused.

Connections on which nothing more is due are closed as before.

--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionCloser.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionCloser.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.DuplexChannel
 
 /** Closes one server connection and keeps the reason. */
 internal class ConnectionCloser(private val context: ChannelHandlerContext) {
@@ -13,12 +14,27 @@
     var closing = false
         private set
 
-    /** Closes the connection once everything that was written before has been sent. */
-    fun closeAfterWrites(because: UnansweredReason? = null) {
+    /**
+     * Closes the connection once everything that was written before has been sent. With [linger], the client may still
+     * be sending.
+     */
+    fun closeAfterWrites(because: UnansweredReason? = null, linger: Boolean = false) {
         if (!closing) {
             closing = true
             reason = because
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { write ->
+                if (linger && write.isSuccess) shutdownOutput() else context.close()
+            }
+        }
+    }
+
+    private fun shutdownOutput() {
+        val channel = context.channel()
+        if (channel is DuplexChannel) {
+            channel.pipeline().addFirst(LingeringReader())
+            channel.shutdownOutput()
+        } else {
+            channel.close()
         }
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -24,7 +24,7 @@
 internal class RequestQueue(
     private val context: ChannelHandlerContext,
     private val environment: ServerEnvironment,
-    private val gate: WriteGate,
+    private val pipeline: PipelineHandlers,
     private val onEmpty: () -> Unit,
 ) {
     private val exchanges = OpenExchanges(environment.clock, environment.onEvent)
@@ -75,7 +75,7 @@
     }
 
     private fun handle(exchange: ServerExchange) {
-        val writer = ConnectionWriter(context, gate, Observer(exchange)) {
+        val writer = ConnectionWriter(context, pipeline.gate, Observer(exchange)) {
             exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
         val onFailure = CoroutineExceptionHandler { _, failure ->
@@ -108,7 +108,7 @@
 
     private fun closeAfterResponse(last: ServerExchange?) {
         exchanges.failAll(UnansweredReason.CLOSED_AFTER_RESPONSE, except = last)
-        closer.closeAfterWrites()
+        closer.closeAfterWrites(linger = rejected != null || pending.isNotEmpty() || pipeline.timer.receiving)
         writeTimer.start()
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -16,7 +16,7 @@
     private lateinit var requests: RequestQueue
 
     override fun handlerAdded(context: ChannelHandlerContext) {
-        requests = RequestQueue(context, environment, pipeline.gate) {
+        requests = RequestQueue(context, environment, pipeline) {
             if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
         }
     }
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.time.Duration
 
 private const val LARGE_BODY_BYTES = 8_000_000
@@ -71,4 +72,18 @@
                 expectThat(client.read()?.body).isEqualTo("/2")
             }
         }
+
+    @Test
+    fun `a rejection reaches a client that is still sending its body`() =
+        ServerFixture(HttpServerOptions(maxBodyBytes = 8), ::respond).run {
+            RawClient(address).use { client ->
+                client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n")
+                repeat(20) {
+                    client.send("b".repeat(100_000))
+                    Thread.sleep(2)
+                }
+                expectThat(client.read()?.status).isEqualTo(413)
+                expectThat(client.awaitEnd()).isTrue()
+            }
+        }
 }
