Read one deeply nested object without losing the others

One object nested very deeply among the servers ended the following of the kind: kotlinx.serialization parses arrays and writes values recursively, so the decoder failed with a StackOverflowError, the follower's coroutine ended (`task_failed`), and the router kept the servers that it knew by then.

JSON of other processes is now scanned before it is parsed, in one pass without recursion.

--- a/transport/src/main/kotlin/comfreypath/transport/JsonExchange.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/JsonExchange.kt
@@ -21,7 +21,7 @@
 
 /** Decodes a JSON text; the error says what is malformed and where. */
 inline fun <reified T> decodeJson(text: String): Result<T, String> = try {
-    Ok(wireJson.decodeFromString<T>(text))
+    Ok(wireJson.decodeFromString<T>(replaceDeepValues(text)))
 } catch (malformed: SerializationException) {
     Err(malformed.message.orEmpty().lineSequence().first())
 } catch (unexpected: IllegalArgumentException) {
