--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.peers
 
+import com.github.michaelbull.result.fold
 import comfreypath.coordination.Step
 import comfreypath.coordination.fleet.ConfigurationFreshness
 import comfreypath.coordination.fleet.GossipAction
@@ -24,7 +25,6 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.time.Duration
 import java.time.Instant
@@ -122,13 +122,15 @@
 
     private fun receive(bytes: ByteArray, sender: Address) {
         context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
-        val status = try {
-            Json.decodeFromString<PeerStatus>(bytes.decodeToString())
-        } catch (malformed: SerializationException) {
-            context.log.record("peer_status_unreadable", "reason" to malformed.message)
-            return
-        }
-        step(GossipEvent.StatusReceived(status, PeerAddress(status.from, sender.host, sender.port, status.dataCentre)))
+        decodePeerStatus(bytes).fold(
+            success = { status ->
+                val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
+                step(GossipEvent.StatusReceived(status, address))
+            },
+            failure = { reason ->
+                context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
+            },
+        )
     }
 
     private fun step(event: GossipEvent) {
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
@@ -0,0 +1,35 @@
+package comfreypath.router.peers
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import comfreypath.coordination.fleet.PeerStatus
+import comfreypath.transport.decodeJson
+import java.time.Duration
+
+private const val MAX_AGE_DAYS = 36_500L
+
+/** The ages that a peer may report, in milliseconds. Much larger ones would overflow when subtracted from a time. */
+private val AGES = 0L..Duration.ofDays(MAX_AGE_DAYS).toMillis()
+
+/** Decodes a status message of a peer; the error is a text for the log. */
+internal fun decodePeerStatus(bytes: ByteArray): Result<PeerStatus, String> =
+    decodeJson<PeerStatus>(bytes.decodeToString()).andThen { status ->
+        val ages = listOfNotNull(status.storeResponseAgeMilliseconds, status.configuration?.ageMilliseconds)
+        when {
+            ages.any { it !in AGES } -> Err("an age is out of range")
+            status.echo?.let { it.milliseconds < 0 } ?: false -> Err("the echoed time is out of range")
+            else -> Ok(status)
+        }
+    }
+
+/** Decodes a snapshot or delta of a peer; the error is a text for the log. */
+internal fun decodeKindSnapshot(text: String): Result<KindSnapshot, String> =
+    decodeJson<KindSnapshot>(text).andThen { snapshot ->
+        when {
+            snapshot.ageMilliseconds !in AGES -> Err("the age is out of range")
+            snapshot.revision < 0 -> Err("the revision is out of range")
+            else -> Ok(snapshot)
+        }
+    }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -15,7 +15,6 @@
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.OutgoingRequest
 import comfreypath.transport.ResponseWriter
-import comfreypath.transport.decodeJson
 import comfreypath.transport.respond
 import comfreypath.transport.respondJson
 import io.netty.handler.codec.http.HttpMethod
@@ -110,7 +109,7 @@
         val request = OutgoingRequest(HttpMethod.GET, path, headTimeout = timeout, chunkTimeout = timeout)
         val snapshot = client.fetch(peer, request).fold(
             success = { response ->
-                if (response.successful) decodeJson<KindSnapshot>(response.text()).fold({ it }, { null }) else null
+                if (response.successful) decode(response.text(), peer, kind) else null
             },
             failure = { null },
         )
@@ -127,6 +126,14 @@
         return outcome
     }
 
+    private fun decode(text: String, peer: Address, kind: ObjectKind<*>): KindSnapshot? = decodeKindSnapshot(text).fold(
+        success = { it },
+        failure = { reason ->
+            context.log.record("copy_unreadable", "kind" to kind.label, "peer" to peer, "reason" to reason)
+            null
+        },
+    )
+
     private fun <T : Any> apply(
         snapshot: KindSnapshot,
         kind: ObjectKind<T>,
--- a/transport/src/main/kotlin/comfreypath/transport/Address.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/Address.kt
@@ -13,7 +13,7 @@
         /** Parses `host:port`; null unless the host is an IP address and the port is in the range 0 to 65,535. */
         fun parse(text: String): Address? {
             val host = text.substringBeforeLast(':', "")
-            val port = text.substringAfterLast(':').toIntOrNull()
+            val port = text.substringAfterLast(':').takeIf { digits -> digits.all { it in '0'..'9' } }?.toIntOrNull()
             val valid = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)
             return if (valid && port != null && port in 0..MAX_PORT) Address(host, port) else null
         }
