--- a/router/src/test/kotlin/comfreypath/router/view/KindViewTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/KindViewTest.kt
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
@@ -76,6 +77,18 @@
         repeat(RUNS) { seed -> replay(Random(seed)) }
     }
 
+    @Test
+    fun `an object that is no longer readable has no value, and the others keep theirs`() {
+        val unreadable = StoredObject<RouterRecord>("b", 4, Err("port is out of range"), document = "b@4")
+        val watching = view()
+        watching.replace(listOf(stored("a", 1), stored("b", 2), stored("c", 3)), 3, now)
+        watching.apply(listOf(ObjectChange(unreadable, removed = false), changed("d", 5)), 5, now)
+        val listing = view()
+        listing.replace(listOf(stored("a", 1), unreadable, stored("c", 3), stored("d", 5)), 5, now)
+        listOf(watching, listing).forEach { expectThat(it.values.keys).containsExactlyInAnyOrder("a", "c", "d") }
+        expectThat(watching.digest).isEqualTo(listing.digest)
+    }
+
     private fun replay(random: Random) {
         val store = sortedMapOf<String, Long>()
         val source = view()
