Break a begun stream off when the attempt to resume it gets a whole response

Callers saw: a stream stopped in the middle of its chunks, the connection stayed open, and neither that stream nor a later request on the kept connection got an answer (LOST).

Cause: when the second endpoint answered the attempt to resume a stream with a whole response (a 500 with no attempt left, any 4xx or 3xx), AttemptLoop returned that response. It was written as a second head into the chunked answer, the encoder rejected it, and the failed write closed nothing.

A stream that has begun now ends only as complete or broken off, whatever the last attempt brought. The event stream_broken_off tells the last event, the outcome and the response that was dropped. The stand-in for platform servers can fail resumed streams, end truncated ones properly framed, pause once, and name itself in its responses.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -47,6 +47,7 @@
     private val request = exchange.request
     private val route = exchange.route
     private val retryPolicy = RetryPolicy(MAX_REFUSALS)
+    private val log = RelayLog(context, request)
     private val tried = HashSet<EndpointName>()
     private var state = RetryState(route, exchange.deadline)
     private var stream: StreamRelay? = null
@@ -142,8 +143,13 @@
         result: RelayResult? = null,
         rejection: Admission.Refused? = null,
     ): RelayResult = when {
+        result is RelayResult.Streamed -> result
+        stream?.started == true -> {
+            // A stream that has begun can't be replaced by a whole response or a refusal.
+            log.streamBrokenOff(state, stream?.lastEventId, result)
+            RelayResult.Streamed(complete = false)
+        }
         result != null && decision == RetryDecision.Deliver -> result
-        stream?.started == true -> RelayResult.Streamed(complete = false)
         decision == RetryDecision.FailMayHaveRun -> refused(RelayRefusals.mayHaveRun(state))
         rejection != null -> refused(RelayRefusals.overloaded(rejection))
         else -> refused(RelayRefusals.notRun(state, context.now(), request.jitter))
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -27,6 +27,10 @@
  * @property unsigned omits the signature of responses
  * @property workMilliseconds the time that a plain server takes for a request; null for its default
  * @property truncateEvent makes [abortAfterEvents] abort streams in the middle of the next event
+ * @property endAborted makes [abortAfterEvents] end streams with their last chunk instead of closing the connection
+ * @property failResumed responds with status 500 to requests that resume a stream
+ * @property pauseAfterEvents makes each new stream pause once after this many events, for [pauseMilliseconds]
+ * @property pauseMilliseconds how long a stream pauses after [pauseAfterEvents]
  */
 data class PlatformServerFaults(
     val refuse: Boolean = false,
@@ -37,6 +41,10 @@
     val truncateEvent: Boolean = false,
     val unsigned: Boolean = false,
     val workMilliseconds: Long? = null,
+    val endAborted: Boolean = false,
+    val failResumed: Boolean = false,
+    val pauseAfterEvents: Int? = null,
+    val pauseMilliseconds: Long = 0,
 )
 
 /** A request that a platform server stand-in received, and whether it ran. */
@@ -101,11 +109,12 @@
             }
             val headers = mapOf(
                 PlatformHeaders.REQUEST_ID to id,
+                PlatformHeaders.ENDPOINT to name,
                 PlatformHeaders.LOAD to "$inFlight,0,64",
                 "Keep-Alive" to "timeout=5",
             ) + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
             when {
-                faults.failing -> writer.respond(
+                faults.failing || faults.failResumed && resumes(request) -> writer.respond(
                     HttpResponseStatus.INTERNAL_SERVER_ERROR,
                     headers,
                     "failed".encodeToByteArray()
@@ -118,6 +127,8 @@
         }
     }
 
+    private fun resumes(request: IncomingRequest) = request.headers.contains(PlatformHeaders.LAST_EVENT_ID)
+
     private suspend fun respond(id: String, headers: Map<String, String>, writer: ResponseWriter) {
         delay(faults.workMilliseconds ?: workMilliseconds)
         if (faults.abortResponses) writer.abort() else writer.respond(HttpResponseStatus.OK, headers, responseBody(id))
@@ -137,9 +148,10 @@
             if (number - first >= (faults.abortAfterEvents ?: last)) {
                 if (faults.truncateEvent) writer.writeChunk("id: $number\nda".encodeToByteArray())
                 delay(eventMilliseconds)
-                writer.abort()
+                if (faults.endAborted) writer.end() else writer.abort()
                 return
             }
+            if (number - first == faults.pauseAfterEvents && !resumes(request)) delay(faults.pauseMilliseconds)
             writer.writeChunk(event(id, number))
         }
         writer.end()
