Send a stream's head from the endpoint whose events follow

Callers saw: when an endpoint sent the head of a stream and failed before its first event, the caller got that head, with the first endpoint's signature, over the events of the second one (MIXED).

Cause: the relay of the first attempt was kept with its head, although nothing of it had gone to the caller.

Evidence: the new test failed on the old code: the head named engine-2, whose stream had been aborted.

The relay, and with it the head, is kept only once the stream has begun.

--- a/daemon/src/test/kotlin/comfreypath/daemon/IncompleteStreamTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/IncompleteStreamTest.kt
@@ -1,11 +1,13 @@
 package comfreypath.daemon
 
 import comfreypath.daemon.demo.PlatformRequest
+import comfreypath.platform.PlatformHeaders
 import comfreypath.standins.PlatformServerFaults
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
@@ -26,6 +28,17 @@
             .get { text() }.isEqualTo(expectedStream("s2", tokens))
     }
 
+    @Test
+    fun `the head of a stream comes from the engine that sent its events`() = PlatformFixture().run {
+        fleet.engines.forEach { aborting ->
+            setEngineFaults(PlatformServerFaults())
+            setFaults(listOf(aborting), PlatformServerFaults(abortAfterEvents = 0))
+            val name = aborting.endpoint.name.text
+            val response = endOf(PlatformRequest("follow", "after-$name", tokens))
+            expectThat(response).isNotNull().get { headers.get(PlatformHeaders.ENDPOINT) }.isNotEqualTo(name)
+        }
+    }
+
     private companion object {
         const val TIME_LIMIT_MILLISECONDS = 3_000L
     }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -199,7 +199,7 @@
         try {
             val attempt = withTimeoutOrNull(Duration.between(context.now(), state.deadline).toMillis()) {
                 if (isStream) {
-                    val relay = stream ?: newStreamRelay(sent.head)
+                    val relay = stream?.takeIf { it.started } ?: newStreamRelay(sent.head)
                     stream = relay
                     ResponseReader.relayStream(relay, sent, if (state.canFailOver) stallTimeout else null)
                 } else {
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -27,7 +27,7 @@
  * Only complete events are relayed, so that a stream that aborts within an event can resume after the last complete
  * one. The head is written with the first event: until then the response can still come from another endpoint.
  *
- * @property head the head of the first endpoint's response
+ * @property head the head of the response whose first event starts the stream
  * @property onStart called when the first event goes to the caller
  * @property belongsTo whether an event belongs to the caller's request; other events are dropped
  */
