Treat a stream that ends within an event as broken off

Cause: StreamRelay took the end of the response for the end of the stream, also while the splitter held a part of an event. That happens with a response that has neither a length nor chunks and ends with its connection, and with a chunked one that is closed properly within an event.

Such an end is now an attempt with the outcome Unknown(reason=TRUNCATED): a resumable stream goes on at another endpoint after its last whole event, any other is broken off, or answered 502 before its first event.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -28,6 +28,9 @@
     /** The received bytes are not a valid response. */
     MALFORMED,
 
+    /** The response was ended within an event of a stream. */
+    TRUNCATED,
+
     /** No complete response arrived before the deadline. */
     TIMED_OUT,
 }
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -31,6 +31,7 @@
         expectThat(texts(*UnknownReason.entries.map { AttemptOutcome.Unknown(it) }.toTypedArray())).containsExactly(
             "Unknown(reason=CONNECTION_LOST)",
             "Unknown(reason=MALFORMED)",
+            "Unknown(reason=TRUNCATED)",
             "Unknown(reason=TIMED_OUT)",
         )
     }
--- a/daemon/src/test/kotlin/comfreypath/daemon/IncompleteStreamTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/IncompleteStreamTest.kt
@@ -3,6 +3,7 @@
 import comfreypath.daemon.demo.PlatformRequest
 import comfreypath.platform.PlatformHeaders
 import comfreypath.standins.PlatformServerFaults
+import comfreypath.standins.PlatformServerStandIn
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -28,6 +29,36 @@
             .get { text() }.isEqualTo(expectedStream("s2", tokens))
     }
 
+    @Test
+    fun `a framed stream that ends within an event is resumed`() = PlatformFixture().run {
+        setEngineFaults(PlatformServerFaults(abortAfterEvents = 6, truncateEvent = true, endAborted = true))
+        expectThat(endOf(PlatformRequest("follow", "s1", tokens))).isNotNull()
+            .get { text() }.isEqualTo(expectedStream("s1", tokens))
+    }
+
+    @Test
+    fun `a framed stream that ends within an event and can't be resumed is broken off`() = PlatformFixture().run {
+        setEngineFaults(PlatformServerFaults(abortAfterEvents = 6, truncateEvent = true, endAborted = true))
+        expectThat(endOf(PlatformRequest("draft", "s1", tokens))).isNull()
+    }
+
+    @Test
+    fun `a stream that ends with its connection within an event is broken off`() = PlatformFixture().run {
+        RawEndpoint { request, socket ->
+            val head = "HTTP/1.1 200 OK\r\nX-Response-Seal: ${PlatformServerStandIn.signature(request.id)}\r\n" +
+                "Content-Type: text/event-stream\r\n\r\n"
+            val events = (1..3).joinToString("") { PlatformServerStandIn.event(request.id, it).decodeToString() }
+            val end = if (request.id.startsWith("cut")) "id: 4\nda" else ""
+            socket.send(head + events + end)
+            socket.close()
+        }.use { raw ->
+            useEngine(raw)
+            expectThat(endOf(PlatformRequest("draft", "cut", tokens))).isNull()
+            expectThat(endOf(PlatformRequest("draft", "whole", tokens))).isNotNull()
+                .get { text() }.isEqualTo(expectedStream("whole", "1612,21"))
+        }
+    }
+
     @Test
     fun `the head of a stream comes from the engine that sent its events`() = PlatformFixture().run {
         fleet.engines.forEach { aborting ->
--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
@@ -38,6 +38,33 @@
         withContext(it.loop.dispatcher()) { it.server.setFaults(faults) }
     }
 
+    /** Makes [raw] the only engine, and waits until requests reach it. */
+    internal suspend fun useEngine(raw: RawEndpoint) = useServer(raw, fleet.engines) { id ->
+        call(PlatformRequest("draft", id, "8,7"))
+    }
+
+    /** Makes [raw] the only plain server, and waits until requests reach it. */
+    internal suspend fun usePlainServer(raw: RawEndpoint) = useServer(raw, fleet.plainServers) { id ->
+        call(PlatformRequest("history", id))
+    }
+
+    private suspend fun useServer(
+        raw: RawEndpoint,
+        servers: List<PlatformFleet.RunningServer>,
+        probe: suspend (String) -> Unit,
+    ) {
+        val replaced = servers.first().endpoint
+        servers.drop(1).forEach { fleet.storeAdmin.deregister(it.endpoint) }
+        fleet.storeAdmin.updateRegistration(replaced.copy(host = raw.address.host, port = raw.address.port))
+        var probes = 0
+        eventually("requests at the raw endpoint") {
+            probe("probe-${probes++}")
+            (servers.drop(1) + servers.first()).none { running ->
+                running.server.receivedRequests.any { it.id == "probe-${probes - 1}" }
+            }
+        }
+    }
+
     suspend fun setStoreFaults(faults: StoreFaults) =
         withContext(fleet.storeLoop.dispatcher()) { fleet.store.setFaults(faults) }
 
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -13,6 +13,6 @@
     is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT -> HealthEvidence.SILENT
-        UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED -> HealthEvidence.LOST
+        UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -72,6 +72,7 @@
                 connectionReusable = true,
             )
             is StreamEnd.Aborted -> CompletedAttempt(AttemptOutcome.Unknown(end.reason.toUnknownReason()))
+            StreamEnd.Truncated -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TRUNCATED))
             StreamEnd.Stalled -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TIMED_OUT))
         }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -17,6 +17,9 @@
     /** The endpoint's stream is open, but nothing arrived for the stall timeout. */
     data object Stalled : StreamEnd
 
+    /** The endpoint ended its response within an event. */
+    data object Truncated : StreamEnd
+
     /** The endpoint's stream ended early or could not be read. */
     data class Aborted(val reason: AbortReason) : StreamEnd
 }
@@ -53,13 +56,14 @@
             write(splitter.feed(part.bytes))
             part = next(exchange, stallTimeout)
         }
-        if (part == ResponsePart.End) {
+        val complete = part == ResponsePart.End && !splitter.partial
+        if (complete) {
             start()
             writer.end()
         }
         return when (part) {
             null -> StreamEnd.Stalled
-            ResponsePart.End -> StreamEnd.Complete
+            ResponsePart.End -> if (complete) StreamEnd.Complete else StreamEnd.Truncated
             is ResponsePart.Aborted -> StreamEnd.Aborted(part.reason)
             is ResponsePart.Bytes, is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
         }
