Answer requests that outlast the grace period of a stop

A request that was still in progress at the end of the grace period ended with a closed connection: the caller had neither an answer nor a refusal, and could not tell whether it had run. The same held for a request read in the last moments of the stop.

Requests read from then on are refused as not run. The check of the invariant graceful_stop is unchanged and comes before. CallerDrain takes the drain out of Router.

Without the call of refuseRemaining, "a request that outlasts the grace period gets an answer instead of a closed connection" finds null in place of 502.

--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -43,7 +43,6 @@
 import java.time.Duration
 
 private const val SWEEP_INTERVAL_MILLISECONDS = 500L
-private const val STOP_POLL_INTERVAL_MILLISECONDS = 20L
 
 /** How long a draining router still accepts connections, until the platform and its callers have noticed. */
 private const val DRAIN_NOTICE_MILLISECONDS = 2_500L
@@ -113,6 +112,7 @@
         onEvent = CallerServerEvents(context, formats.callers)::record,
         handler = requests::handle,
     )
+    private val drain = CallerDrain(context, requests, callerServer)
     private val pages = StatusPages(context) { ready }
     private var stopping = false
 
@@ -180,16 +180,13 @@
         val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_RESERVE)
         log.record("stopping", "inProgress" to requests.inProgress)
         delay(DRAIN_NOTICE_MILLISECONDS)
-        callerServer.closeAfterResponse = true
-        callerServer.stopAccepting()
-        while (context.now() < deadline && hasWork()) {
-            callerServer.closeIdle()
-            delay(STOP_POLL_INTERVAL_MILLISECONDS)
+        drain.awaitIdle(deadline, claims::busy)
+        val remaining = requests.inProgress
+        context.monitor.check(Invariant.GRACEFUL_STOP, remaining == 0) {
+            "$remaining requests were in progress when the router stopped"
         }
-        context.monitor.check(Invariant.GRACEFUL_STOP, requests.inProgress == 0) {
-            "${requests.inProgress} requests were in progress when the router stopped"
-        }
-        log.record("stopped", "inProgress" to requests.inProgress)
+        drain.refuseRemaining()
+        log.record("stopped", "inProgress" to remaining)
         pages.stop()
         callerServer.stop()
         viewUpdater.stop()
@@ -197,8 +194,6 @@
         context.scope.cancel()
     }
 
-    private fun hasWork(): Boolean = requests.inProgress > 0 || callerServer.connectionCount > 0 || claims.busy
-
     /** Stops at once like a crash, aborting the requests in progress. */
     suspend fun kill() {
         context.scope.cancel()
--- a/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
@@ -20,6 +20,9 @@
     /** The priority of the request; 0 is the most urgent. */
     var priority: Int = 0
 
+    /** True once an endpoint was selected for an attempt, so that the request may have run. */
+    var offered: Boolean = false
+
     /** The refusal that the caller received; null if the request was not refused. */
     var refusal: Refusal? = null
 
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -95,8 +95,9 @@
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
         } else {
-            place(exchange, registered, candidates, requestHash)?.let { SelectionResult.Selected(it) }
-                ?: SelectionResult.NoEndpoint
+            val selection = place(exchange, registered, candidates, requestHash)
+            exchange.offered = exchange.offered || selection != null
+            selection?.let { SelectionResult.Selected(it) } ?: SelectionResult.NoEndpoint
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -7,6 +7,10 @@
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import java.io.IOException
 import java.time.Duration
 
 /** Reads callers' requests, runs them through [stages], and writes refusals. */
@@ -16,6 +20,9 @@
     private val configuration: ConfigurationView,
     private val stages: Stage,
 ) {
+    private val open = LinkedHashMap<CallerExchange, Job>()
+    private var stopped = false
+
     /** The number of requests in progress. */
     var inProgress: Int = 0
         private set
@@ -26,7 +33,7 @@
         context.metrics.inProgress.set(inProgress.toDouble())
         try {
             dialect.read(incoming, context.now()).fold(
-                success = { request -> traced(CallerExchange(request, writer)) },
+                success = { request -> start(CallerExchange(request, writer)) },
                 failure = { refusal -> write(refusal, null, writer) },
             )
         } finally {
@@ -35,6 +42,45 @@
         }
     }
 
+    private suspend fun start(exchange: CallerExchange) {
+        if (stopped) {
+            refuse(exchange, stopRefusal(exchange))
+            return
+        }
+        open[exchange] = currentCoroutineContext().job
+        try {
+            traced(exchange)
+        } finally {
+            open.remove(exchange)
+        }
+    }
+
+    /**
+     * Ends the requests in progress whose response has not begun with a refusal, and refuses further requests. Returns
+     * the number of requests that it ended.
+     */
+    suspend fun refuseRemaining(): Int {
+        stopped = true
+        val remaining = open.filterKeys { !it.writer.started }
+        remaining.forEach { (exchange, job) ->
+            try {
+                refuse(exchange, stopRefusal(exchange))
+            } catch (closed: IOException) {
+                context.log.record("refusal_failed", "request" to exchange.request.id, "error" to closed)
+            }
+            job.cancel(CancellationException("the router stops"))
+        }
+        return remaining.size
+    }
+
+    /** An earlier request with the same idempotency key may have run too. */
+    private fun stopRefusal(exchange: CallerExchange): Refusal =
+        if (exchange.offered || exchange.request.idempotencyKey != null) {
+            Refusal(RefusalCode.ANSWER_LOST, "the router stopped before the answer; the request may have run")
+        } else {
+            Refusal(RefusalCode.NOT_READY, "the router is stopping")
+        }
+
     private suspend fun traced(exchange: CallerExchange) {
         val span = context.tracing.start("caller", exchange.traceParent)
         span.setAttribute("request", exchange.request.id.text)
@@ -42,19 +88,21 @@
         try {
             stages(exchange)
         } catch (cancellation: CancellationException) {
-            context.log.record(
-                "caller_left",
-                "request" to exchange.request.id,
-                "team" to exchange.team,
-                "waitedMs" to Duration.between(exchange.request.receivedAt, context.now()).toMillis(),
-                "answerBegun" to (exchange.firstByteAt != null),
-            )
+            if (exchange.refusal == null) recordCallerLeft(exchange)
             throw cancellation
         } finally {
             span.end(succeeded = exchange.writer.started && exchange.refusal == null)
         }
     }
 
+    private fun recordCallerLeft(exchange: CallerExchange) = context.log.record(
+        "caller_left",
+        "request" to exchange.request.id,
+        "team" to exchange.team,
+        "waitedMs" to Duration.between(exchange.request.receivedAt, context.now()).toMillis(),
+        "answerBegun" to (exchange.firstByteAt != null),
+    )
+
     /** Logs [refusal] and sends it to the caller. */
     suspend fun refuse(exchange: CallerExchange, refusal: Refusal) {
         exchange.refusal = refusal
