Leave a silent endpoint only if another one takes the request

Callers saw: an endpoint that is sound, but silent for a second before it goes on, lost its requests: streams were broken off, whole answers replaced by 502 or 504 (LOST), although the endpoint was about to answer.

Cause: the exchange with the silent endpoint was closed after the stall timeout, before it was known whether any other endpoint would take the request. Without a candidate, a place or a retry the healthy answer was thrown away, and what refused the request afterwards ended a stream that had begun. Each such stall also counted against the endpoint's health, even if it answered other requests meanwhile.

The request stays, and is checked again every 100 ms, until another endpoint and a retry are reserved. Only then is the old exchange closed, and after that the request is sent again, so that it never runs at two endpoints. If the others refuse it as not run, it may return to the endpoint that it left. An endpoint that responds to others is not counted as silent, and one that goes on after a silence counts as healthy. The first selection is still sent in the same turn of the event loop. The outcomes STALLED and SLOW and the events waiting_on and endpoint_went_on tell these cases apart.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -31,6 +31,12 @@
     /** The response was ended within an event of a stream. */
     TRUNCATED,
 
+    /** The endpoint sent nothing at all for a while, and the request left it for another one. */
+    STALLED,
+
+    /** The endpoint sent nothing for this request, but responded to others, and the request left it for another one. */
+    SLOW,
+
     /** No complete response arrived before the deadline. */
     TIMED_OUT,
 }
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -32,6 +32,8 @@
             "Unknown(reason=CONNECTION_LOST)",
             "Unknown(reason=MALFORMED)",
             "Unknown(reason=TRUNCATED)",
+            "Unknown(reason=STALLED)",
+            "Unknown(reason=SLOW)",
             "Unknown(reason=TIMED_OUT)",
         )
     }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -1,6 +1,5 @@
 package comfreypath.router.request
 
-import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.overload.Admission
 import comfreypath.coordination.overload.RefusalReason
 import comfreypath.coordination.verdict.AttemptOutcome
@@ -11,6 +10,7 @@
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.router.RouterContext
 import comfreypath.router.sending.EndpointSender
+import comfreypath.router.sending.ResponseActivity
 import comfreypath.router.sending.SendResult
 import comfreypath.router.sending.Trackers
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -19,8 +19,6 @@
 import java.time.Instant
 
 private const val MAX_REFUSALS = 3
-private const val STALL_TIMEOUT_FACTOR = 3L
-private const val MIN_STALL_TIMEOUT_MILLISECONDS = 1_000L
 
 private const val LOWEST_PRIORITY = 9
 
@@ -48,14 +46,11 @@
     private val route = exchange.route
     private val retryPolicy = RetryPolicy(MAX_REFUSALS)
     private val log = RelayLog(context, request)
-    private val tried = HashSet<EndpointName>()
+    private val targets = AttemptTargets(dependencies, exchange)
+    private val stallWatch = StallWatch(dependencies, exchange, targets, log)
     private var state = RetryState(route, exchange.deadline)
     private var stream: StreamRelay? = null
 
-    /** How long an endpoint may send nothing before the request moves to another one. */
-    private val stallTimeout: Duration =
-        maxOf(MIN_STALL_TIMEOUT, route.latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
-
     /** False once the caller has disconnected; no further attempt is made then. */
     var callerConnected = true
 
@@ -63,8 +58,7 @@
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
         while (result == null) {
-            val selected =
-                if (callerConnected) dependencies.selector.select(exchange, tried) else SelectionResult.NoEndpoint
+            val selected = if (callerConnected) targets.select(state) else SelectionResult.NoEndpoint
             result = when (selected) {
                 is SelectionResult.Selected -> tryEndpoint(selected.selection)
                 is SelectionResult.Overloaded -> finish(retryPolicy.giveUp(state), rejection = selected.admission)
@@ -76,13 +70,16 @@
 
     /** Makes one attempt; returns null when another one follows. */
     private suspend fun tryEndpoint(selection: Selection): RelayResult? {
-        if (tried.isEmpty()) {
+        if (targets.untried) {
             dependencies.trackers.retries.recordRequest(selection.endpoint.service)
         }
-        tried += selection.endpoint.name
+        targets.recordTried(selection.endpoint.name)
         val attempt = measuredAttempt(selection)
         val ifRetryAllowed = retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = true)
-        val allowed = ifRetryAllowed.second != RetryDecision.TryAnother || acquireRetry(selection, attempt.outcome)
+        val leaves = attempt.outcome.leavesSilentEndpoint
+        if (leaves) targets.recordLeft(selection.endpoint.name)
+        val allowed =
+            leaves || ifRetryAllowed.second != RetryDecision.TryAnother || acquireRetry(selection, attempt.outcome)
         val (next, decision) =
             if (allowed) ifRetryAllowed else retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = false)
         state = next
@@ -98,7 +95,8 @@
         dependencies.trackers.progress.recordStart(service, exchange.team)
         entry.inFlight += 1
         try {
-            val attempt = attempt(selection)
+            val activity = stallWatch.activity(selection)
+            val attempt = stallWatch.run(selection, state, activity) { attempt(selection, activity) }
             val answered = attempt.outcome is AttemptOutcome.Answered
             if (answered && selection.load < selection.endpoint.slots) {
                 val now = context.now()
@@ -118,7 +116,7 @@
         outcome is AttemptOutcome.NotSent || dependencies.trackers.retries.tryAcquire(selection.endpoint.service)
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
-        dependencies.trackers.endpoints.observe(selection.endpoint.name, outcome.toHealthEvidence())
+        outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
         context.metrics.attempts.labelValues(outcome.javaClass.simpleName).inc()
         context.log.record(
             "attempt",
@@ -160,10 +158,8 @@
         return RelayResult.Refused(refusal)
     }
 
-    private suspend fun attempt(selection: Selection): CompletedAttempt {
+    private suspend fun attempt(selection: Selection, activity: ResponseActivity): CompletedAttempt {
         dependencies.invariants.checkSend(request, state, selection.endpoint)
-        val headDeadline =
-            if (state.canFailOver) minOf(state.deadline, context.now() + stallTimeout) else state.deadline
         val plan = SendPlan(
             endpoint = selection.endpoint,
             timeLeft = Duration.between(context.now(), state.deadline),
@@ -173,7 +169,8 @@
             cacheSource = selection.cacheSource,
             traceParent = exchange.traceParent,
         )
-        return when (val sent = dependencies.sender.send(request, plan, route.repeatable, headDeadline)) {
+        val sent = dependencies.sender.send(request, plan, route.repeatable, state.deadline, activity)
+        return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
             is SendResult.Responding -> if (sent.head.genuine) {
                 readResponse(selection, sent)
@@ -201,7 +198,7 @@
                 if (isStream) {
                     val relay = stream?.takeIf { it.started } ?: newStreamRelay(sent.head)
                     stream = relay
-                    ResponseReader.relayStream(relay, sent, if (state.canFailOver) stallTimeout else null)
+                    ResponseReader.relayStream(relay, sent)
                 } else {
                     ResponseReader.readFully(selection.endpoint, sent)
                 }
@@ -212,11 +209,6 @@
             if (reusable) sent.exchange.complete(sent.head.idleTimeout) else sent.exchange.close()
         }
     }
-
-    private companion object {
-        /** Even a busy endpoint does not pause for this long, and callers of streams disconnect after two seconds. */
-        val MIN_STALL_TIMEOUT: Duration = Duration.ofMillis(MIN_STALL_TIMEOUT_MILLISECONDS)
-    }
 }
 
 /** The refusals of requests that no endpoint has answered. */
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -163,6 +163,10 @@
         }
     }
 
+    /** True if the endpoint of an earlier [selection] is still registered and accepts requests. */
+    fun accepts(selection: Selection): Boolean =
+        view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && acceptsRequests(it) }
+
     private fun acceptsRequests(endpoint: Endpoint): Boolean =
         !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
 
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -5,14 +5,19 @@
 import comfreypath.coordination.verdict.UnknownReason
 import io.netty.handler.codec.http.HttpResponseStatus
 
-/** What this outcome of an attempt shows about the health of its endpoint. */
-internal fun AttemptOutcome.toHealthEvidence(): HealthEvidence = when (this) {
+/** True if the request left its endpoint because that was silent, after another one had been reserved. */
+internal val AttemptOutcome.leavesSilentEndpoint: Boolean
+    get() = this is AttemptOutcome.Unknown && (reason == UnknownReason.STALLED || reason == UnknownReason.SLOW)
+
+/** What this outcome of an attempt shows about the health of its endpoint; null if it shows nothing. */
+internal fun AttemptOutcome.toHealthEvidence(): HealthEvidence? = when (this) {
     is AttemptOutcome.Answered ->
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) HealthEvidence.ANSWERED else HealthEvidence.FAILED
     is AttemptOutcome.NotRun -> HealthEvidence.FULL
     is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
     is AttemptOutcome.Unknown -> when (reason) {
-        UnknownReason.TIMED_OUT -> HealthEvidence.SILENT
+        UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
+        UnknownReason.SLOW -> null
         UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
@@ -1,11 +1,31 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.verdict.RetryState
+import comfreypath.coordination.verdict.WaitReason
 import comfreypath.router.RouterContext
 import java.time.Duration
+import java.time.Instant
 
 /** Logs what happens to the response of one request while it is relayed. */
 internal class RelayLog(private val context: RouterContext, private val request: CallerRequest) {
+    /** The request stays at a silent endpoint. */
+    fun waitingOn(endpoint: EndpointName, reason: WaitReason, silentSince: Instant?) = context.log.record(
+        "waiting_on",
+        "request" to request.id,
+        "endpoint" to endpoint,
+        "reason" to reason,
+        "silentMs" to silentSince?.let { Duration.between(it, context.now()).toMillis() },
+    )
+
+    /** An endpoint that had been silent has sent more of the response. */
+    fun endpointWentOn(endpoint: EndpointName, silence: Duration) = context.log.record(
+        "endpoint_went_on",
+        "request" to request.id,
+        "endpoint" to endpoint,
+        "silentMs" to silence.toMillis(),
+    )
+
     /** The stream that the caller receives ends incomplete; [dropped] is a whole response that can't continue it. */
     fun streamBrokenOff(state: RetryState, lastEventId: Long?, dropped: RelayResult?) = context.log.record(
         "stream_broken_off",
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -8,7 +8,6 @@
 import comfreypath.router.sending.toUnknownReason
 import comfreypath.transport.ResponsePart
 import java.io.ByteArrayOutputStream
-import java.time.Duration
 
 private const val MAX_RESPONSE_BYTES = 16_777_216
 
@@ -59,13 +58,9 @@
     private fun notRun(head: EndpointResponseHead): AttemptOutcome =
         if (head.wrongEndpoint) AttemptOutcome.WrongEndpoint else AttemptOutcome.NotRun(head.status, head.retryAfter)
 
-    /** Relays a stream through [relay]; times out when nothing arrives for [stallTimeout]; null means no limit. */
-    suspend fun relayStream(
-        relay: StreamRelay,
-        sent: SendResult.Responding,
-        stallTimeout: Duration?,
-    ): CompletedAttempt =
-        when (val end = relay.relayFrom(sent.exchange, stallTimeout)) {
+    /** Relays a stream through [relay]. */
+    suspend fun relayStream(relay: StreamRelay, sent: SendResult.Responding): CompletedAttempt =
+        when (val end = relay.relayFrom(sent.exchange)) {
             StreamEnd.Complete -> CompletedAttempt(
                 AttemptOutcome.Answered(sent.head.status),
                 RelayResult.Streamed(complete = true),
@@ -73,6 +68,5 @@
             )
             is StreamEnd.Aborted -> CompletedAttempt(AttemptOutcome.Unknown(end.reason.toUnknownReason()))
             StreamEnd.Truncated -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TRUNCATED))
-            StreamEnd.Stalled -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TIMED_OUT))
         }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -5,18 +5,13 @@
 import comfreypath.transport.ResponsePart
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
-import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
-import java.time.Duration
 
 /** How the stream of one endpoint ended. */
 sealed interface StreamEnd {
     /** The endpoint sent the stream to its end. */
     data object Complete : StreamEnd
 
-    /** The endpoint's stream is open, but nothing arrived for the stall timeout. */
-    data object Stalled : StreamEnd
-
     /** The endpoint ended its response within an event. */
     data object Truncated : StreamEnd
 
@@ -48,13 +43,13 @@
     var started = false
         private set
 
-    /** Relays the events of [exchange] until it ends or nothing arrives for [stallTimeout]; null means no limit. */
-    suspend fun relayFrom(exchange: EndpointExchange, stallTimeout: Duration?): StreamEnd {
+    /** Relays the events of [exchange] until it ends. */
+    suspend fun relayFrom(exchange: EndpointExchange): StreamEnd {
         val splitter = EventSplitter()
-        var part = next(exchange, stallTimeout)
+        var part = exchange.next()
         while (part is ResponsePart.Bytes) {
             write(splitter.feed(part.bytes))
-            part = next(exchange, stallTimeout)
+            part = exchange.next()
         }
         val complete = part == ResponsePart.End && !splitter.partial
         if (complete) {
@@ -62,16 +57,12 @@
             writer.end()
         }
         return when (part) {
-            null -> StreamEnd.Stalled
             ResponsePart.End -> if (complete) StreamEnd.Complete else StreamEnd.Truncated
             is ResponsePart.Aborted -> StreamEnd.Aborted(part.reason)
             is ResponsePart.Bytes, is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
         }
     }
 
-    private suspend fun next(exchange: EndpointExchange, stallTimeout: Duration?): ResponsePart? =
-        if (stallTimeout == null) exchange.next() else withTimeoutOrNull(stallTimeout.toMillis()) { exchange.next() }
-
     private suspend fun write(events: List<StreamEvent>) {
         val bytes = ByteArrayOutputStream()
         events.forEach { event ->
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -14,11 +14,18 @@
 private const val REUSABLE_IDLE_SHARE = 0.66
 
 /** One request and its response on a connection to an endpoint. */
-class EndpointExchange(private val pool: ConnectionPool, private val connection: HttpConnection) {
+class EndpointExchange(
+    private val pool: ConnectionPool,
+    private val connection: HttpConnection,
+    private val activity: ResponseActivity,
+) {
     private var open = true
 
     /** Waits for the next part of the response. */
-    suspend fun next(): ResponsePart = connection.next()
+    suspend fun next(): ResponsePart {
+        activity.recordAwaiting()
+        return connection.next().also { activity.recordHeard() }
+    }
 
     /** Returns the connection to the pool after a complete response. The endpoint closes it after [idleTimeout]. */
     fun complete(idleTimeout: Duration?) {
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -45,11 +45,17 @@
     private val maxIdleTimeNonRepeatable = Duration.ofMillis(MAX_IDLE_NON_REPEATABLE_MILLISECONDS)
 
     /** Sends [request] according to [plan], and waits for the response head until [deadline]. */
-    suspend fun send(request: CallerRequest, plan: SendPlan, repeatable: Boolean, deadline: Instant): SendResult {
+    suspend fun send(
+        request: CallerRequest,
+        plan: SendPlan,
+        repeatable: Boolean,
+        deadline: Instant,
+        activity: ResponseActivity,
+    ): SendResult {
         val address = Address(plan.endpoint.host, plan.endpoint.port)
         val idleLimit = if (repeatable) maxIdleTime else maxIdleTimeNonRepeatable
         return pool.acquire(address, idleLimit, context.options.timeouts.connect).fold(
-            success = { exchange(request, plan, it.connection, deadline) },
+            success = { exchange(request, plan, it.connection, deadline, activity) },
             failure = { SendResult.Failed(AttemptOutcome.NotSent("connect: ${it.cause}")) },
         )
     }
@@ -59,9 +65,10 @@
         plan: SendPlan,
         connection: HttpConnection,
         deadline: Instant,
+        activity: ResponseActivity,
     ): SendResult {
         val entry = tracker.entry(plan.endpoint.name)
-        val exchange = EndpointExchange(pool, connection)
+        val exchange = EndpointExchange(pool, connection, activity)
         val span = context.tracing.start("endpoint", plan.traceParent)
         val head = dialect.encode(request, plan)
         span.traceParent?.let { head.headers.set(TRACE_PARENT, it) }
@@ -71,13 +78,15 @@
             return SendResult.Failed(AttemptOutcome.NotSent("the connection had closed"))
         }
         val sentAt = context.now()
+        activity.recordAwaiting()
         entry.recordSent(sentAt)
         var responded = false
         try {
             val timeLeft = Duration.between(sentAt, deadline).toMillis()
-            val result = withTimeoutOrNull(timeLeft) { awaitHead(request, exchange) }
+            val result = withTimeoutOrNull(timeLeft) { awaitHead(request, connection, exchange) }
                 ?: SendResult.Failed(AttemptOutcome.Unknown(UnknownReason.TIMED_OUT))
             responded = result is SendResult.Responding
+            if (responded) activity.recordHeard()
             return result
         } finally {
             entry.recordSettled(sentAt, responded, context.now())
@@ -89,10 +98,14 @@
     }
 
     /** Waits for the head of the response to [request], skipping late responses to other requests. */
-    private suspend fun awaitHead(request: CallerRequest, exchange: EndpointExchange): SendResult {
+    private suspend fun awaitHead(
+        request: CallerRequest,
+        connection: HttpConnection,
+        exchange: EndpointExchange,
+    ): SendResult {
         var result: SendResult? = null
         while (result == null) {
-            val part = exchange.next()
+            val part = connection.next()
             if (part is ResponsePart.Aborted) {
                 result = SendResult.Failed(AttemptOutcome.Unknown(part.reason.toUnknownReason()))
             } else if (part is ResponsePart.Head) {
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -73,6 +73,15 @@
     private val pendingSendTimes = ArrayDeque<Instant>()
     private var lastResponseAt = Instant.EPOCH
 
+    /** When a part of a response from the endpoint last arrived. */
+    var lastHeardAt: Instant = Instant.EPOCH
+        private set
+
+    /** Records that a part of a response arrived at [now]. */
+    fun recordHeard(now: Instant) {
+        lastHeardAt = now
+    }
+
     /** Records that a request was sent at [now]. */
     fun recordSent(now: Instant) {
         pendingSendTimes.addLast(now)
--- a/router/src/main/kotlin/comfreypath/router/sending/RetryBudgets.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/RetryBudgets.kt
@@ -21,6 +21,9 @@
         budgets[service] = current(service).afterRequest(bounds)
     }
 
+    /** True if a retry at [service] can be acquired. */
+    fun available(service: ServiceName): Boolean = current(service).allowsRetry
+
     /** Acquires one retry at [service]; returns false if the budget is exhausted. */
     fun tryAcquire(service: ServiceName): Boolean {
         val budget = current(service)
