Reuse a connection only once its request has been written completely

What servers could see: a server that answered before it had read a long body, kept the connection and read on later got the head of another request where the rest of that body was due (UNASKED), or both requests were lost.

Cause: HttpConnection counted as reusable as soon as the response was complete, while a part of the request was still queued in the process.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -36,14 +36,19 @@
     private var persistent = true
     private var interim = false
     private var exchangeInProgress = false
+    private var writing = false
     private var aborted = false
 
     /** The method of the request in progress, from which the decoder derives whether the response has a body. */
     internal var method: HttpMethod = HttpMethod.GET
         private set
 
-    /** True if another exchange can start. */
-    val reusable: Boolean get() = channel.isActive && persistent && !exchangeInProgress && !aborted && queued == 0
+    /**
+     * True if another exchange can start. A server may respond before it has read the request; until that is written
+     * completely, no other request may follow it.
+     */
+    val reusable: Boolean
+        get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0
 
     /** True until the connection has closed. */
     val open: Boolean get() = channel.isActive
@@ -66,7 +71,8 @@
         if (body.isEmpty() && head.method == HttpMethod.GET) {
             message.headers().remove("content-length")
         }
-        channel.writeAndFlush(message)
+        writing = true
+        channel.writeAndFlush(message).addListener { writing = false }
         return true
     }
 
--- a/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
@@ -4,14 +4,17 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isTrue
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -47,16 +50,20 @@
     private fun serve(respond: (Socket) -> Unit) = responses.put(respond)
 
     /** The parts received after one request, up to the end of the response or the abort of the connection. */
-    private fun receive(): List<ResponsePart> = runBlocking {
+    private fun receive(withinMilliseconds: Long = 60_000): List<ResponsePart> = runBlocking {
         withContext(loop.dispatcher()) {
-            val address = Address("127.0.0.1", listener.localPort)
-            val connection = connector.connect(address, Duration.ofSeconds(1)).getOrElse { error("$it") }
-            connection.send(RequestHead(HttpMethod.GET, "/", DefaultHttpHeaders().set("Host", "h")), ByteArray(0))
+            val connection = connect()
+            connection.send(head(HttpMethod.GET), ByteArray(0))
             val parts = ArrayList<ResponsePart>()
-            do {
-                parts += connection.next()
-            } while (parts.last() !is ResponsePart.Aborted && parts.last() != ResponsePart.End)
-            connection.close()
+            try {
+                withTimeout(withinMilliseconds) {
+                    do {
+                        parts += connection.next()
+                    } while (parts.last() !is ResponsePart.Aborted && parts.last() != ResponsePart.End)
+                }
+            } finally {
+                connection.close()
+            }
             parts
         }
     }
@@ -137,4 +144,49 @@
         expectThat((parts.first() as ResponsePart.Head).status).isEqualTo(200)
         expectThat(bodyOf(parts)).isEqualTo("hello")
     }
+
+    @Test
+    fun `a connection is not reused while its request is still being written`() {
+        val request = LinkedBlockingQueue<Int>()
+        val mayRead = LinkedBlockingQueue<Unit>()
+        serve { socket ->
+            socket.getOutputStream().write(framings.getValue("a length").encodeToByteArray())
+            mayRead.take()
+            var length = 0
+            val buffer = ByteArray(65_536)
+            socket.soTimeout = 300
+            runCatching {
+                var read = socket.getInputStream().read(buffer)
+                while (read >= 0) {
+                    length += read
+                    read = socket.getInputStream().read(buffer)
+                }
+            }
+            request.put(length)
+        }
+        onLoop {
+            val connection = connect()
+            connection.send(head(HttpMethod.POST), ByteArray(LONG_BODY_BYTES))
+            while (connection.next() != ResponsePart.End) Unit
+            connection.finishExchange()
+            expectThat(connection.reusable).isFalse()
+            mayRead.put(Unit)
+            withTimeout(2_000) { while (!connection.reusable) delay(10) }
+            connection
+        }
+        expectThat(request.take()).isGreaterThan(LONG_BODY_BYTES - 4_096)
+    }
+
+    private fun head(method: HttpMethod) = RequestHead(method, "/", DefaultHttpHeaders().set("Host", "h"))
+
+    private suspend fun connect() = connector.connect(Address("127.0.0.1", listener.localPort), Duration.ofSeconds(1))
+        .getOrElse { error("$it") }
+
+    private fun onLoop(test: suspend () -> HttpConnection) = runBlocking {
+        withContext(loop.dispatcher()) { test().close() }
+    }
+
+    private companion object {
+        const val LONG_BODY_BYTES = 16_000_000
+    }
 }
