Keep following a kind after an update that could not be applied

When a sink or a listener threw an exception, the coroutine of the follower ended with `task_failed` and nothing started it again: the router followed that kind of object no more.

A pass that fails is logged with the task's name, counted in comfreypath_task_failures_total, and followed by the next pass after a pause; for a follower that is a fresh list after its usual backoff, which grows while passes keep failing. Cancellation still ends a loop.

KindView did not call its listeners again when the fresh list brought no change, so that the endpoints by service stayed as they were; it now remembers an unfinished notification. A datagram that can't be processed is reported the same way instead of going to Netty's log.

The exposition test now includes the new metric.

--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -39,7 +39,6 @@
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import java.time.Duration
 
 private const val SWEEP_INTERVAL_MILLISECONDS = 500L
@@ -143,7 +142,7 @@
         viewUpdater.startRemaining()
         claims.start()
         pages.startMetrics()
-        context.scope.launch { sweep() }
+        context.launchLoop("sweep", pass = ::sweep)
         log.record("started")
     }
 
@@ -166,11 +165,9 @@
     ) = log.record("reload_rejected", "cause" to cause, "reason" to reason)
 
     private suspend fun sweep() {
-        while (true) {
-            delay(SWEEP_INTERVAL_MILLISECONDS)
-            pool.sweep()
-            endpointTracker.retain { view.endpoints.isUsable(it) }
-        }
+        delay(SWEEP_INTERVAL_MILLISECONDS)
+        pool.sweep()
+        endpointTracker.retain { view.endpoints.isUsable(it) }
     }
 
     /** Stops gracefully: reports not ready, drains, and closes all servers within the grace period. */
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -7,6 +7,7 @@
 import comfreypath.transport.dispatcher
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import java.time.Instant
@@ -31,8 +32,10 @@
     val options: RouterOptions get() = settings.value
 
     val scope = CoroutineScope(
-        loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure ->
-            log.record("task_failed", "error" to failure.toString())
+        loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { coroutine, failure ->
+            val task = coroutine[CoroutineName]?.name ?: "unnamed"
+            metrics.taskFailures.labelValues(task).inc()
+            log.record("task_failed", "task" to task, "error" to failure.toString())
         },
     )
 
--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimCoordinator.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimCoordinator.kt
@@ -4,9 +4,9 @@
 import comfreypath.coordination.claims.ClaimResult
 import comfreypath.coordination.claims.ClaimShard
 import comfreypath.router.RouterContext
+import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectStore
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 
 private const val TICK_INTERVAL_MILLISECONDS = 20L
 private const val IDLE_TICK_INTERVAL_MILLISECONDS = 500L
@@ -26,12 +26,10 @@
 
     /** Starts to advance the shards that have waiting operations, and to drop those that are idle. */
     fun start() {
-        context.scope.launch {
-            while (true) {
-                drivers.values.filter { it.busy }.forEach { it.tick() }
-                drivers.values.removeIf { it.idle }
-                delay(if (drivers.isEmpty()) IDLE_TICK_INTERVAL_MILLISECONDS else TICK_INTERVAL_MILLISECONDS)
-            }
+        context.launchLoop("advance claims") {
+            drivers.values.filter { it.busy }.forEach { it.tick() }
+            drivers.values.removeIf { it.idle }
+            delay(if (drivers.isEmpty()) IDLE_TICK_INTERVAL_MILLISECONDS else TICK_INTERVAL_MILLISECONDS)
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -17,12 +17,15 @@
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.router.RouterContext
+import comfreypath.router.launchLoop
 import comfreypath.router.request.LivePeers
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
 import comfreypath.transport.DatagramSocket
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.CoroutineName
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
@@ -81,15 +84,13 @@
                 ),
             )
         }
-        context.scope.launch {
-            while (true) {
-                view.configuration.checkClocks()
-                if (context.now() >= state.dueAt) {
-                    step(GossipEvent.Tick(status()))
-                    refreshLive()
-                }
-                delay(POLL_MILLISECONDS)
+        context.launchLoop("gossip") {
+            view.configuration.checkClocks()
+            if (context.now() >= state.dueAt) {
+                step(GossipEvent.Tick(status()))
+                refreshLive()
             }
+            delay(POLL_MILLISECONDS)
         }
     }
 
@@ -122,15 +123,17 @@
 
     private fun receive(bytes: ByteArray, sender: Address) {
         context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
-        decodePeerStatus(bytes).fold(
-            success = { status ->
-                val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
-                step(GossipEvent.StatusReceived(status, address))
-            },
-            failure = { reason ->
-                context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
-            },
-        )
+        context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
+            decodePeerStatus(bytes).fold(
+                success = { status ->
+                    val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
+                    step(GossipEvent.StatusReceived(status, address))
+                },
+                failure = { reason ->
+                    context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
+                },
+            )
+        }
     }
 
     private fun step(event: GossipEvent) {
--- a/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
@@ -2,12 +2,12 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.router.RouterContext
+import comfreypath.router.launchUntil
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.RouterRecord
 import comfreypath.router.store.StoreError
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 
 private const val RETRY_MILLISECONDS = 500L
 
@@ -18,10 +18,8 @@
 
     /** Registers in the background, with retries until the store accepts the record. */
     fun start() {
-        context.scope.launch {
-            while (!register()) {
-                delay(RETRY_MILLISECONDS)
-            }
+        context.launchUntil("register") {
+            register().also { registered -> if (!registered) delay(RETRY_MILLISECONDS) }
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -47,6 +47,9 @@
     /** Violations of invariants, by invariant. */
     val violations: Counter = counter("comfreypath_violations_total", "Invariants violated.", "invariant")
 
+    /** Failures of background tasks, by task. */
+    val taskFailures: Counter = counter("comfreypath_task_failures_total", "Background tasks failed.", "task")
+
     /** Requests in progress. */
     val inProgress: Gauge = gauge("comfreypath_in_progress", "Requests in progress.")
 
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -2,9 +2,11 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.router.RouterContext
+import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -38,17 +40,15 @@
 
     /** Starts probing in the background. */
     fun start() {
-        context.scope.launch {
-            while (true) {
-                val range = ageRange()
-                val width = range.max.minus(range.min).toMillis()
-                val maxAge = range.min.plusMillis(random.nextLong(width + 1))
-                while (isFresh(maxAge)) {
-                    delay(POLL_MILLISECONDS)
-                }
-                probe()
+        context.launchLoop("probe configuration") {
+            val range = ageRange()
+            val width = range.max.minus(range.min).toMillis()
+            val maxAge = range.min.plusMillis(random.nextLong(width + 1))
+            while (isFresh(maxAge)) {
                 delay(POLL_MILLISECONDS)
             }
+            probe()
+            delay(POLL_MILLISECONDS)
         }
     }
 
@@ -73,7 +73,9 @@
     private fun startRead(): PendingRead {
         val read = PendingRead(context.now())
         pendingRead = read
-        val job = context.scope.launch { read.succeeded.complete(readConfiguration(read.startedAt)) }
+        val job = context.scope.launch(CoroutineName("read configuration")) {
+            read.succeeded.complete(readConfiguration(read.startedAt))
+        }
         job.invokeOnCompletion {
             pendingRead = null
             read.succeeded.complete(false)
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -30,6 +30,9 @@
     private val documents = HashMap<String, String>()
     private val listeners = mutableListOf<() -> Unit>()
 
+    /** Still true after a notification that a listener ended by an exception. */
+    private var notifying = false
+
     private val removals = RemovalLog()
     private var lastDigest: KindDigest? = null
 
@@ -60,8 +63,8 @@
         lastDigest = null
         if (previous != values) {
             context.log.record("${label}s_listed", "count" to values.size, "revision" to revision)
-            listeners.forEach { it() }
         }
+        notify(changed = previous != values)
     }
 
     override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
@@ -80,8 +83,14 @@
         this.revision = maxOf(revision, this.revision)
         this.confirmedAt = confirmedAt
         lastDigest = null
-        if (changes.isNotEmpty()) {
+        notify(changed = changes.isNotEmpty())
+    }
+
+    private fun notify(changed: Boolean) {
+        if (changed || notifying) {
+            notifying = true
             listeners.forEach { it() }
+            notifying = false
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -4,11 +4,13 @@
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.router.RouterContext
+import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
@@ -16,9 +18,6 @@
 import java.time.Duration
 import java.time.Instant
 
-private const val INITIAL_BACKOFF_MILLISECONDS = 100
-private const val MAX_BACKOFF_MILLISECONDS = 800
-private const val MAX_DOUBLINGS = 3
 private const val IDLE_POLL_MILLISECONDS = 100L
 
 /** The delay between a change and the next watch. Changes come in bursts; the next call returns the rest of a burst. */
@@ -62,6 +61,9 @@
     private val random: UniformRandomProvider =
         RandomSource.SPLIT_MIX_64.create((context.options.name.text + kind.label).hashCode().toLong())
     private var failures = 0
+
+    /** The number of passes in a row that failed because an update could not be applied. */
+    private var failedPasses = 0
     private var unavailableSince: Instant? = null
     private var watchJob: Job? = null
     private var behindSince: Instant? = null
@@ -72,23 +74,26 @@
 
     /** Starts following in the background. */
     fun start() {
-        context.scope.launch {
-            while (true) {
-                if (hooks.shouldWatch()) {
-                    list()?.let { revision -> watch(revision) }
-                    if (unavailable) {
-                        hooks.fetchFromPeer(null)
-                    }
-                    delay(backoffMilliseconds())
-                } else {
-                    failures = 0
-                    unavailableSince = null
-                    delay(IDLE_POLL_MILLISECONDS)
+        context.launchLoop("follow ${kind.label}", ::pauseAfterFailure) {
+            if (hooks.shouldWatch()) {
+                list()?.let { revision -> watch(revision) }
+                if (unavailable) {
+                    hooks.fetchFromPeer(null)
                 }
+                delay(random.backoffMilliseconds(failures))
+            } else {
+                failures = 0
+                unavailableSince = null
+                delay(IDLE_POLL_MILLISECONDS)
             }
         }
     }
 
+    private fun pauseAfterFailure(): Long {
+        failedPasses += 1
+        return random.backoffMilliseconds(failedPasses)
+    }
+
     /**
      * Compares [theirs], the digest of [peer], with [own]. If this router is behind, it fetches the peer's snapshot; if
      * it watches the store itself, it reopens the watch instead once it has been behind for too long.
@@ -120,15 +125,6 @@
         }
     }
 
-    private fun backoffMilliseconds(): Long {
-        if (failures == 0) {
-            return 0
-        }
-        val doublings = minOf(failures - 1, MAX_DOUBLINGS)
-        val max = (INITIAL_BACKOFF_MILLISECONDS shl doublings).coerceAtMost(MAX_BACKOFF_MILLISECONDS)
-        return max / 2 + random.nextInt(max / 2 + 1).toLong()
-    }
-
     /** Lists all pages and returns the revision to watch from, or null after a failure. */
     private suspend fun list(): Long? {
         val objects = ArrayList<StoredObject<T>>()
@@ -148,15 +144,18 @@
 
     /** Watches until a failure, or until the watch is reopened. */
     private suspend fun watch(from: Long) {
-        val job = context.scope.launch {
-            var revision: Long? = from
-            while (revision != null && hooks.shouldWatch()) {
-                revision = watchOnce(revision)
+        try {
+            coroutineScope {
+                watchJob = launch {
+                    var revision: Long? = from
+                    while (revision != null && hooks.shouldWatch()) {
+                        revision = watchOnce(revision)
+                    }
+                }
             }
+        } finally {
+            watchJob = null
         }
-        watchJob = job
-        job.join()
-        watchJob = null
     }
 
     private suspend fun watchOnce(from: Long): Long? {
@@ -167,6 +166,7 @@
             ?: return null
         succeeded()
         sink.apply(batch.changes, batch.revision, sentAt)
+        failedPasses = 0
         if (batch.changes.isNotEmpty()) {
             delay(BATCHING_MILLISECONDS)
         }
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -59,6 +59,9 @@
         # HELP comfreypath_store_calls_total Calls to the store.
         # TYPE comfreypath_store_calls_total counter
         comfreypath_store_calls_total{kind="endpoints",outcome="answered",verb="list"} 6.0
+        # HELP comfreypath_task_failures_total Background tasks failed.
+        # TYPE comfreypath_task_failures_total counter
+        comfreypath_task_failures_total{task="sweep"} 8.0
         # HELP comfreypath_violations_total Invariants violated.
         # TYPE comfreypath_violations_total counter
         comfreypath_violations_total{invariant="at_most_once"} 7.0
@@ -77,6 +80,7 @@
         metrics.requestsRead.inc(9)
         metrics.requestsUnanswered.labelValues("client_closed").inc(10)
         metrics.responsesWritten.inc(11)
+        metrics.taskFailures.labelValues("sweep").inc(8)
         metrics.inProgress.set(4.0)
         metrics.configurationVersion.set(18.0)
         metrics.latency.labelValues("idempotent").observe(0.25)
