Bound every part of an endpoint's response that may come without end

Callers saw: while an endpoint sent an event without a blank line, the router answered nobody: the splitter copied and searched the whole event again for each part that arrived, on the event loop that serves all requests, and kept all of it in memory. Interim responses without end, and the body of a response that belongs to another request, kept the request waiting to its deadline. The bodies of the store's and the peers' responses had no limit at all.

The splitter scans each byte once. Events, interim responses, responses to other requests and bodies read by HttpClient have limits; beyond them the connection is closed, and the outcome of the attempt names the limit that was exceeded.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -28,6 +28,21 @@
     /** The received bytes are not a valid response. */
     MALFORMED,
 
+    /** The status line, the headers, or the lines between chunks were longer than allowed. */
+    FRAMING_TOO_LONG,
+
+    /** More interim responses arrived than allowed. */
+    TOO_MANY_INTERIM_RESPONSES,
+
+    /** More arrived that belongs to other requests than allowed. */
+    TOO_MUCH_FOREIGN,
+
+    /** The body was longer than allowed. */
+    BODY_TOO_LONG,
+
+    /** An event of a stream was longer than allowed. */
+    EVENT_TOO_LONG,
+
     /** The response was ended within an event of a stream. */
     TRUNCATED,
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -31,6 +31,11 @@
         expectThat(texts(*UnknownReason.entries.map { AttemptOutcome.Unknown(it) }.toTypedArray())).containsExactly(
             "Unknown(reason=CONNECTION_LOST)",
             "Unknown(reason=MALFORMED)",
+            "Unknown(reason=FRAMING_TOO_LONG)",
+            "Unknown(reason=TOO_MANY_INTERIM_RESPONSES)",
+            "Unknown(reason=TOO_MUCH_FOREIGN)",
+            "Unknown(reason=BODY_TOO_LONG)",
+            "Unknown(reason=EVENT_TOO_LONG)",
             "Unknown(reason=TRUNCATED)",
             "Unknown(reason=STALLED)",
             "Unknown(reason=SLOW)",
--- a/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
@@ -1,7 +1,8 @@
 package comfreypath.router.request
 
-import java.io.ByteArrayOutputStream
-
+private const val INITIAL_BUFFER_BYTES = 256
+private const val MAX_IDLE_BUFFER_BYTES = 16_384
+private const val MAX_EVENT_BYTES = 1_048_576
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
@@ -10,41 +11,57 @@
 
 /** Splits the bytes of a `text/event-stream` into complete events and buffers an incomplete one. */
 class EventSplitter {
-    private val buffer = ByteArrayOutputStream()
+    private var buffer = ByteArray(INITIAL_BUFFER_BYTES)
+    private var size = 0
+    private var scanned = 0
+    private var lineStart = 0
 
     /** True while an incomplete event is buffered. */
-    val partial: Boolean get() = buffer.size() > 0
+    val partial: Boolean get() = size > 0
+
+    /** True once the incomplete event is longer than allowed. */
+    val overflowed: Boolean get() = size > MAX_EVENT_BYTES
 
     /** Adds received bytes and returns the events that they complete. */
     fun feed(bytes: ByteArray): List<StreamEvent> {
-        buffer.writeBytes(bytes)
-        val all = buffer.toByteArray()
+        append(bytes)
         val events = ArrayList<StreamEvent>()
         var start = 0
-        var end = endOfEvent(all, start)
-        while (end > 0) {
-            events += StreamEvent(all.copyOfRange(start, end), idIn(all, start, end))
-            start = end
-            end = endOfEvent(all, start)
+        while (scanned < size) {
+            val lineEnded = buffer[scanned] == LINE_FEED
+            val blank = lineEnded && isBlankLine()
+            scanned += 1
+            if (lineEnded) {
+                lineStart = scanned
+            }
+            if (blank) {
+                events += StreamEvent(buffer.copyOfRange(start, scanned), idIn(buffer, start, scanned))
+                start = scanned
+            }
         }
-        buffer.reset()
-        buffer.write(all, start, all.size - start)
+        discard(start)
         return events
     }
 
-    /** The index after the blank line that ends the event at [start], or -1 while that has not arrived. */
-    private fun endOfEvent(bytes: ByteArray, start: Int): Int {
-        var lineStart = start
-        for (index in start until bytes.size) {
-            if (bytes[index] == LINE_FEED) {
-                val blank = index == lineStart || index == lineStart + 1 && bytes[lineStart] == CARRIAGE_RETURN
-                if (blank) {
-                    return index + 1
-                }
-                lineStart = index + 1
-            }
+    private fun append(bytes: ByteArray) {
+        if (size + bytes.size > buffer.size) {
+            buffer = buffer.copyOf(maxOf(size + bytes.size, 2 * buffer.size))
+        }
+        bytes.copyInto(buffer, size)
+        size += bytes.size
+    }
+
+    private fun isBlankLine(): Boolean =
+        scanned == lineStart || scanned == lineStart + 1 && buffer[lineStart] == CARRIAGE_RETURN
+
+    private fun discard(count: Int) {
+        buffer.copyInto(buffer, 0, count, size)
+        size -= count
+        scanned -= count
+        lineStart -= count
+        if (size == 0 && buffer.size > MAX_IDLE_BUFFER_BYTES) {
+            buffer = ByteArray(INITIAL_BUFFER_BYTES)
         }
-        return -1
     }
 
     private fun idIn(bytes: ByteArray, start: Int, end: Int): Long? =
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -18,6 +18,12 @@
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
         UnknownReason.SLOW -> null
+        UnknownReason.FRAMING_TOO_LONG,
+        UnknownReason.TOO_MANY_INTERIM_RESPONSES,
+        UnknownReason.TOO_MUCH_FOREIGN,
+        UnknownReason.BODY_TOO_LONG,
+        UnknownReason.EVENT_TOO_LONG,
+        -> HealthEvidence.LOST
         UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -51,7 +51,8 @@
         return when (part) {
             ResponsePart.End -> null
             is ResponsePart.Aborted -> part.reason.toUnknownReason()
-            is ResponsePart.Bytes, is ResponsePart.Head -> UnknownReason.MALFORMED
+            is ResponsePart.Bytes -> UnknownReason.BODY_TOO_LONG
+            is ResponsePart.Head -> UnknownReason.MALFORMED
         }
     }
 
@@ -67,6 +68,7 @@
                 connectionReusable = true,
             )
             is StreamEnd.Aborted -> CompletedAttempt(AttemptOutcome.Unknown(end.reason.toUnknownReason()))
+            StreamEnd.EventTooLong -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.EVENT_TOO_LONG))
             StreamEnd.Truncated -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TRUNCATED))
         }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -12,6 +12,9 @@
     /** The endpoint sent the stream to its end. */
     data object Complete : StreamEnd
 
+    /** An event was longer than allowed. */
+    data object EventTooLong : StreamEnd
+
     /** The endpoint ended its response within an event. */
     data object Truncated : StreamEnd
 
@@ -47,7 +50,7 @@
     suspend fun relayFrom(exchange: EndpointExchange): StreamEnd {
         val splitter = EventSplitter()
         var part = exchange.next()
-        while (part is ResponsePart.Bytes) {
+        while (part is ResponsePart.Bytes && !splitter.overflowed) {
             write(splitter.feed(part.bytes))
             part = exchange.next()
         }
@@ -59,7 +62,8 @@
         return when (part) {
             ResponsePart.End -> if (complete) StreamEnd.Complete else StreamEnd.Truncated
             is ResponsePart.Aborted -> StreamEnd.Aborted(part.reason)
-            is ResponsePart.Bytes, is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
+            is ResponsePart.Bytes -> StreamEnd.EventTooLong
+            is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -53,4 +53,6 @@
 internal fun AbortReason.toUnknownReason(): UnknownReason = when (this) {
     AbortReason.CLOSED, AbortReason.RESET -> UnknownReason.CONNECTION_LOST
     AbortReason.MALFORMED -> UnknownReason.MALFORMED
+    AbortReason.FRAMING_TOO_LONG -> UnknownReason.FRAMING_TOO_LONG
+    AbortReason.TOO_MANY_INTERIM_RESPONSES -> UnknownReason.TOO_MANY_INTERIM_RESPONSES
 }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -17,6 +17,8 @@
 import java.time.Duration
 import java.time.Instant
 
+private const val MAX_FOREIGN_BYTES = 1_048_576
+private const val MAX_FOREIGN_HEADS = 16
 private const val MAX_IDLE_SECONDS = 4L
 private const val MAX_IDLE_NON_REPEATABLE_MILLISECONDS = 250L
 
@@ -104,15 +106,21 @@
         exchange: EndpointExchange,
     ): SendResult {
         var result: SendResult? = null
-        while (result == null) {
-            val part = connection.next()
-            if (part is ResponsePart.Aborted) {
-                result = SendResult.Failed(AttemptOutcome.Unknown(part.reason.toUnknownReason()))
-            } else if (part is ResponsePart.Head) {
-                result = matchHead(request, exchange, part)
+        var foreignBytes = 0
+        var foreignHeads = 0
+        while (result == null && foreignBytes <= MAX_FOREIGN_BYTES && foreignHeads <= MAX_FOREIGN_HEADS) {
+            when (val part = connection.next()) {
+                is ResponsePart.Aborted ->
+                    result = SendResult.Failed(AttemptOutcome.Unknown(part.reason.toUnknownReason()))
+                is ResponsePart.Head -> {
+                    result = matchHead(request, exchange, part)
+                    foreignHeads += 1
+                }
+                is ResponsePart.Bytes -> foreignBytes += part.bytes.size
+                ResponsePart.End -> Unit
             }
         }
-        return result
+        return result ?: SendResult.Failed(AttemptOutcome.Unknown(UnknownReason.TOO_MUCH_FOREIGN))
     }
 
     private fun matchHead(request: CallerRequest, exchange: EndpointExchange, part: ResponsePart.Head): SendResult? {
--- a/router/src/test/kotlin/comfreypath/router/request/EventSplitterTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/EventSplitterTest.kt
@@ -1,11 +1,14 @@
 package comfreypath.router.request
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertTimeoutPreemptively
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import java.time.Duration
 
 class EventSplitterTest {
     private val splitter = EventSplitter()
@@ -38,4 +41,32 @@
         val bytes = byteArrayOf(0, -1, 13, 10, 10, 10)
         expectThat(splitter.feed(bytes).flatMap { it.bytes.toList() }).isEqualTo(bytes.toList())
     }
+
+    @Test
+    fun `a long event that arrives in small parts is scanned once`() {
+        val part = ByteArray(16) { 'x'.code.toByte() }
+        assertTimeoutPreemptively(Duration.ofSeconds(2)) {
+            repeat(60_000) { splitter.feed(part) }
+        }
+        expectThat(splitter.overflowed).isFalse()
+        expectThat(splitter.feed("\n\n".encodeToByteArray()).single().bytes.size).isEqualTo(60_000 * part.size + 2)
+    }
+
+    @Test
+    fun `an event without end overflows`() {
+        repeat(17) { splitter.feed(ByteArray(65_536) { 'x'.code.toByte() }) }
+        expectThat(splitter.overflowed).isTrue()
+    }
+
+    @Test
+    fun `the way in which events are divided into parts does not matter`() {
+        val stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n\n\r\ndata: c\n\n".encodeToByteArray()
+        val expected = texts(EventSplitter().feed(stream))
+        (1..stream.size).forEach { length ->
+            val divided = EventSplitter()
+            val events = stream.toList().chunked(length).flatMap { divided.feed(it.toByteArray()) }
+            expectThat(texts(events)).isEqualTo(expected)
+            expectThat(divided.partial).isFalse()
+        }
+    }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
@@ -17,6 +18,7 @@
 import kotlinx.coroutines.channels.Channel as Queue
 
 private const val HIGH_WATERMARK_PARTS = 256
+private const val MAX_INTERIM_RESPONSES = 16
 
 /** The head of a request. [headers] are sent unchanged, except for Content-Length, which is set from the body. */
 class RequestHead(val method: HttpMethod, val uri: String, val headers: HttpHeaders)
@@ -35,6 +37,7 @@
     private var reset = false
     private var persistent = true
     private var interim = false
+    private var interimCount = 0
     private var exchangeInProgress = false
     private var writing = false
     private var aborted = false
@@ -59,6 +62,7 @@
             return false
         }
         exchangeInProgress = true
+        interimCount = 0
         method = head.method
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -103,14 +107,17 @@
             abort(
                 when {
                     reset -> AbortReason.RESET
-                    context.channel().isActive -> AbortReason.MALFORMED
-                    else -> AbortReason.CLOSED
+                    !context.channel().isActive -> AbortReason.CLOSED
+                    message.decoderResult().cause() is TooLongFrameException -> AbortReason.FRAMING_TOO_LONG
+                    else -> AbortReason.MALFORMED
                 },
             )
             return
         }
         if (message is HttpResponse) {
             interim = message.status().code() < HttpResponseStatus.OK.code()
+            interimCount += if (interim) 1 else 0
+            if (interimCount > MAX_INTERIM_RESPONSES) abort(AbortReason.TOO_MANY_INTERIM_RESPONSES)
         }
         if (message is HttpResponse && !interim) {
             persistent = persistent && HttpUtil.isKeepAlive(message)
--- a/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 
+private const val MAX_BODY_BYTES = 16_777_216
+
 /** A response whose head has arrived and whose body is read in chunks. */
 class HttpExchange internal constructor(
     head: ResponsePart.Head,
@@ -43,23 +45,19 @@
         return part ?: ResponsePart.Aborted(AbortReason.CLOSED)
     }
 
-    /** Reads the complete body. */
+    /** Reads the complete body; one that is longer than [MAX_BODY_BYTES] counts as lost. */
     suspend fun body(): Result<ByteArray, ExchangeFailure> {
         val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = next()) {
-                is ResponsePart.Bytes -> body.writeBytes(part.bytes)
-                ResponsePart.End -> return Ok(body.toByteArray())
-                is ResponsePart.Aborted, is ResponsePart.Head -> return Err(
-                    if (timedOut) {
-                        ExchangeFailure.TimedOut(
-                            sent = true
-                        )
-                    } else {
-                        ExchangeFailure.ConnectionLost(sent = true)
-                    },
-                )
-            }
+        var part = next()
+        while (part is ResponsePart.Bytes && body.size() <= MAX_BODY_BYTES) {
+            body.writeBytes(part.bytes)
+            part = next()
+        }
+        return if (part == ResponsePart.End) {
+            Ok(body.toByteArray())
+        } else {
+            close()
+            Err(if (timedOut) ExchangeFailure.TimedOut(sent = true) else ExchangeFailure.ConnectionLost(sent = true))
         }
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/ResponsePart.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ResponsePart.kt
@@ -27,4 +27,10 @@
 
     /** The bytes are not an HTTP/1.1 response. */
     MALFORMED,
+
+    /** The status line, the headers, or the lines between chunks are longer than allowed. */
+    FRAMING_TOO_LONG,
+
+    /** More interim responses arrived than allowed. */
+    TOO_MANY_INTERIM_RESPONSES,
 }
--- a/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -177,6 +178,77 @@
         expectThat(request.take()).isGreaterThan(LONG_BODY_BYTES - 4_096)
     }
 
+    @Test
+    fun `a response without end is aborted within bounds`() {
+        val head = "HTTP/1.1 200 OK\r\n"
+        val chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+        val endless = mapOf(
+            "status line" to ("HTTP/1.1 200 " to "x"),
+            "header" to (head + "X-Long: " to "x"),
+            "headers" to (head to "X-Header: 1\r\n"),
+            "chunk size" to (chunked to "0"),
+            "chunk extension" to (chunked + "5;" to "x"),
+            "chunk trailer" to (chunked + "0\r\n" to "X-Trailer: 1\r\n"),
+        )
+        endless.forEach { (part, bytes) ->
+            val (start, repeated) = bytes
+            val sent = LinkedBlockingQueue<Long>()
+            serve { socket ->
+                val block = repeated.repeat(4_096 / repeated.length).encodeToByteArray()
+                var length = 0L
+                runCatching {
+                    socket.getOutputStream().write(start.encodeToByteArray())
+                    while (length < ENDLESS_BYTES) {
+                        socket.getOutputStream().write(block)
+                        length += block.size
+                    }
+                }
+                sent.put(length)
+            }
+            val last = runCatching { receive(withinMilliseconds = 5_000).last() }.getOrNull()
+            expectThat(last).describedAs("endless $part")
+                .isEqualTo(ResponsePart.Aborted(AbortReason.FRAMING_TOO_LONG))
+            expectThat(sent.take()).describedAs("bytes of an endless $part").isLessThan(ENDLESS_BYTES)
+        }
+    }
+
+    @Test
+    fun `interim responses without end are aborted within bounds`() {
+        serve { socket ->
+            runCatching {
+                while (true) socket.getOutputStream().write("HTTP/1.1 102 Processing\r\n\r\n".encodeToByteArray())
+            }
+        }
+        expectThat(receive(withinMilliseconds = 5_000).last())
+            .isEqualTo(ResponsePart.Aborted(AbortReason.TOO_MANY_INTERIM_RESPONSES))
+    }
+
+    @Test
+    fun `bytes after a response close the connection`() {
+        val sent = LinkedBlockingQueue<Long>()
+        serve { socket ->
+            var length = 0L
+            runCatching {
+                socket.getOutputStream().write(framings.getValue("a length").encodeToByteArray())
+                Thread.sleep(100)
+                while (length < ENDLESS_BYTES) {
+                    socket.getOutputStream().write(ByteArray(4_096) { 'x'.code.toByte() })
+                    length += 4_096
+                }
+            }
+            sent.put(length)
+        }
+        onLoop {
+            val connection = connect()
+            connection.send(head(HttpMethod.GET), ByteArray(0))
+            while (connection.next() != ResponsePart.End) Unit
+            connection.finishExchange()
+            withTimeout(5_000) { while (connection.open) delay(10) }
+            connection
+        }
+        expectThat(sent.take()).isLessThan(ENDLESS_BYTES)
+    }
+
     private fun head(method: HttpMethod) = RequestHead(method, "/", DefaultHttpHeaders().set("Host", "h"))
 
     private suspend fun connect() = connector.connect(Address("127.0.0.1", listener.localPort), Duration.ofSeconds(1))
@@ -188,5 +260,6 @@
 
     private companion object {
         const val LONG_BODY_BYTES = 16_000_000
+        const val ENDLESS_BYTES = 64_000_000L
     }
 }
