Bound the length of a response that is read as a whole

A head without an end already fails at 64 KiB in the decoder.

With the new type and the new parameter but without the limit, the test of the client read 64 MiB as a complete body, and a list of 16 MiB was accepted.

--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -1,7 +1,10 @@
 package comfreypath.router.peers
 
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapError
 import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.ObjectKind
@@ -9,6 +12,7 @@
 import comfreypath.router.store.StoredObject
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
+import comfreypath.transport.ClientResponse
 import comfreypath.transport.HttpClient
 import comfreypath.transport.HttpServer
 import comfreypath.transport.HttpServerOptions
@@ -107,11 +111,12 @@
         val timeout = Duration.ofMillis(TIMEOUT_MILLISECONDS)
         val path = PATH + kind.label + since?.let { "?$SINCE=$it" }.orEmpty()
         val request = OutgoingRequest(HttpMethod.GET, path, headTimeout = timeout, chunkTimeout = timeout)
-        val snapshot = client.fetch(peer, request).fold(
-            success = { response ->
-                if (response.successful) decode(response.text(), peer, kind) else null
+        val snapshot = client.fetch(peer, request).mapError { it.toString() }.andThen(::decode).fold(
+            success = { it },
+            failure = { reason ->
+                context.log.record("copy_unreadable", "kind" to kind.label, "peer" to peer, "reason" to reason)
+                null
             },
-            failure = { null },
         )
         val outcome = snapshot?.let { apply(it, kind, sink, sentAt) } ?: FetchOutcome.NOTHING
         context.log.record(
@@ -126,13 +131,8 @@
         return outcome
     }
 
-    private fun decode(text: String, peer: Address, kind: ObjectKind<*>): KindSnapshot? = decodeKindSnapshot(text).fold(
-        success = { it },
-        failure = { reason ->
-            context.log.record("copy_unreadable", "kind" to kind.label, "peer" to peer, "reason" to reason)
-            null
-        },
-    )
+    private fun decode(response: ClientResponse): Result<KindSnapshot, String> =
+        if (response.successful) decodeKindSnapshot(response.text()) else Err("status ${response.status}")
 
     private fun <T : Any> apply(
         snapshot: KindSnapshot,
--- a/transport/src/main/kotlin/comfreypath/transport/ExchangeFailure.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ExchangeFailure.kt
@@ -16,6 +16,11 @@
     /** The connection was closed or reset, or the response was malformed. */
     data class ConnectionLost(override val sent: Boolean) : ExchangeFailure
 
+    /** The response body is longer than the [maxBytes] that the request allowed. */
+    data class BodyTooLong(val maxBytes: Int) : ExchangeFailure {
+        override val sent: Boolean = true
+    }
+
     /** No part of the response arrived within the head or chunk timeout. */
     data class TimedOut(override val sent: Boolean) : ExchangeFailure
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
@@ -5,9 +5,6 @@
 import com.github.michaelbull.result.Result
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
-
-private const val MAX_BODY_BYTES = 16_777_216
 
 /** A response whose head has arrived and whose body is read in chunks. */
 class HttpExchange internal constructor(
@@ -45,19 +42,22 @@
         return part ?: ResponsePart.Aborted(AbortReason.CLOSED)
     }
 
-    /** Reads the complete body; one that is longer than [MAX_BODY_BYTES] counts as lost. */
+    /** Reads the complete body; closes the connection if the body is longer than the request allows. */
     suspend fun body(): Result<ByteArray, ExchangeFailure> {
-        val body = ByteArrayOutputStream()
+        val body = BodyBuffer(request.maxBodyBytes)
         var part = next()
-        while (part is ResponsePart.Bytes && body.size() <= MAX_BODY_BYTES) {
-            body.writeBytes(part.bytes)
+        while (part is ResponsePart.Bytes && body.add(part.bytes)) {
             part = next()
         }
-        return if (part == ResponsePart.End) {
-            Ok(body.toByteArray())
-        } else {
-            close()
-            Err(if (timedOut) ExchangeFailure.TimedOut(sent = true) else ExchangeFailure.ConnectionLost(sent = true))
+        return when (part) {
+            ResponsePart.End -> Ok(body.toByteArray())
+            is ResponsePart.Bytes -> {
+                close()
+                Err(ExchangeFailure.BodyTooLong(request.maxBodyBytes))
+            }
+            is ResponsePart.Aborted, is ResponsePart.Head -> Err(
+                if (timedOut) ExchangeFailure.TimedOut(sent = true) else ExchangeFailure.ConnectionLost(sent = true),
+            )
         }
     }
 
--- a/transport/src/test/kotlin/comfreypath/transport/HttpClientTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/HttpClientTest.kt
@@ -6,15 +6,18 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import java.time.Duration
 
@@ -61,6 +64,28 @@
         expectThat(failure).isEqualTo(ExchangeFailure.TimedOut(sent = true))
     }
 
+    @Test
+    fun `a body without end fails at its limit and closes the connection`() = onLoop {
+        var written = 0
+        val closed = CompletableDeferred<Unit>()
+        val address = serve { _, writer ->
+            try {
+                writer.start(HttpResponseStatus.OK, emptyMap())
+                while (written < 1_024) {
+                    writer.writeChunk(ByteArray(65_536))
+                    written += 1
+                }
+                writer.end()
+            } finally {
+                closed.complete(Unit)
+            }
+        }
+        val failure = client.fetch(address, OutgoingRequest(HttpMethod.GET, "/", maxBodyBytes = 1_000_000)).failure()
+        expectThat(failure).isEqualTo(ExchangeFailure.BodyTooLong(1_000_000))
+        withTimeout(5_000) { closed.await() }
+        expectThat(written).isLessThan(1_024)
+    }
+
     @Test
     fun `a body that stalls fails and its connection is not reused`() = onLoop {
         val address = serve { request, writer ->
