Judge the versions of a rollout by failures and latency

A bad version got the same traffic as a good one, since nothing compared the two: the fleet only followed the orders of rollouts. This adds the decisions: counts by route of what failed, was lost, came late or came slowly, for the target and for the old versions at the same time, merged from all routers by status messages; cumulative sums that tell a bad version from a good one, early or late, on all routes or one; the share of requests for the target, held by counting; and the state to record in the store, by whichever router is first in rendezvous order.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.rollout.RolloutReports
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -18,6 +19,7 @@
  * @property configuration freshness of the sender's configuration; null if it has none
  * @property digests digests of the sender's other objects, by the code of the object kind
  * @property inFlight requests that the sender has in flight
+ * @property rollouts the sender's reports on open rollouts; null if there are none
  */
 @Serializable
 data class PeerStatus(
@@ -31,6 +33,7 @@
     @SerialName("c") val configuration: ConfigurationFreshness? = null,
     @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
     @SerialName("f") val inFlight: InFlight = InFlight(),
+    @SerialName("o") val rollouts: RolloutReports? = null,
 )
 
 /**
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -34,9 +34,14 @@
         peers: Collection<Peer>,
         now: Instant,
     ): Boolean {
-        val ownRank = rank(kind, self)
-        val eligible = peers.filter { it.address.dataCentre == dataCentre && isEligible(it, now) }
-        return eligible.none { rank(kind, it.address.name) > ownRank }
+        val local = peers.filter { it.address.dataCentre == dataCentre }
+        return precedingCount(kind, self, local, now) == 0
+    }
+
+    /** Returns the number of eligible [peers] of higher rank than [self] for the duty called [key]. */
+    fun precedingCount(key: String, self: InstanceName, peers: Collection<Peer>, now: Instant): Int {
+        val ownRank = rank(key, self)
+        return peers.count { isEligible(it, now) && rank(key, it.address.name) > ownRank }
     }
 
     private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
@@ -2,13 +2,31 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.rollout.RolloutReport
+import comfreypath.coordination.rollout.RolloutReports
+import comfreypath.coordination.rollout.RouteEvidence
+import comfreypath.coordination.rollout.Tally
+import comfreypath.coordination.rollout.VersionAspect
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.time.Duration
 
 /** Guards against a renamed or reordered property that routers of another version could no longer read. */
 class PeerStatusWireFormatTest {
+    private val report = RolloutReport(
+        order = 10,
+        age = Duration.ofMillis(1_248),
+        held = true,
+        routes = persistentMapOf(
+            -11 to RouteEvidence(
+                target = persistentMapOf(VersionAspect.FAILED to Tally(35, 1)),
+                baseline = persistentMapOf(VersionAspect.FAILED to Tally(60, 0), VersionAspect.PACE to Tally(36, 2)),
+            ),
+        ),
+    )
     private val status = PeerStatus(
         from = InstanceName("front-1"),
         dataCentre = DataCentreName("south-a"),
@@ -20,9 +38,11 @@
         configuration = ConfigurationFreshness(version = 18, ageMilliseconds = 1_200),
         digests = mapOf("e" to KindDigest(revision = 37, hash = -35), "v" to KindDigest(revision = 0, hash = 71)),
         inFlight = InFlight(mapOf(10 to 1, -11 to 12)),
+        rollouts = RolloutReports(listOf(report)),
     )
     private val text = """{"n":"front-1","z":"south-a","t":"z:10","e":"-10:100","l":true,"r":true,"s":800,""" +
-        """"c":{"v":18,"a":1200},"k":{"e":"11:-z","v":"0:1z"},"f":"a,-b:c"}"""
+        """"c":{"v":18,"a":1200},"k":{"e":"11:-z","v":"0:1z"},"f":"a,-b:c",""" +
+        """"o":"a:yo:h/-b:z,1:1o,0,0,0,0,0,0,0,10,2"}"""
 
     @Test
     fun `a status message with all fields has this text`() {
