Roll a bad version back instead of leaving it in service

Seen: a new version of the model servers that answers several times slower was never taken back.

Cause: no rollout controller. Endpoints of both versions got traffic alike, and no router wrote a rollout's status.

Now VersionRollouts follows the orders, restricts the endpoints of each request to the versions that the plan allows, measures each attempt (time to the first event, pace of the first events, outcome), exchanges the counts with the peers and records the state in the store under the object's revision.

--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.coordination.invariant.InvariantViolation
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.model.VersionName
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.platform.PlatformCallerDialect
 import comfreypath.platform.PlatformEndpointDialect
@@ -97,6 +98,16 @@
         return RunningServer(server, loop, endpoint)
     }
 
+    /** Starts a model engine of [version] and registers it. */
+    suspend fun addEngine(version: VersionName): RunningServer {
+        val number = engines.size
+        val started = startServer("engine-${number + 1}", PlatformLayout.MODEL_SERVICE, number)
+        val running = RunningServer(started.server, started.loop, started.endpoint.copy(version = version))
+        engines += running
+        storeAdmin.register(running.endpoint)
+        return running
+    }
+
     private suspend fun startRouter(number: Int) {
         val options = customizeRouter(
             RouterOptions(
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/StoreAdmin.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/StoreAdmin.kt
@@ -2,8 +2,10 @@
 
 import com.github.michaelbull.result.getOrElse
 import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.Rollout
 import comfreypath.platform.PlatformDocuments
 import comfreypath.platform.StoreWire
 import comfreypath.router.store.ObjectKinds
@@ -70,6 +72,17 @@
         }
     }
 
+    /** Creates the order to roll out a version. */
+    suspend fun orderRollout(rollout: Rollout) =
+        create(PlatformDocuments.ROLLOUT_KIND, rollout.service.text, PlatformDocuments.encode(rollout))
+
+    /** The state that the routers have recorded for the rollout of [service]; null if there is none. */
+    suspend fun rolloutState(service: ServiceName): String? {
+        val path = "${PlatformDocuments.ROLLOUT_KIND}/$service"
+        val status = Json.parseToJsonElement(call(HttpMethod.GET, path, "")).jsonObject[StoreWire.STATUS] as? JsonObject
+        return (status?.get("state") as? JsonPrimitive)?.content
+    }
+
     private suspend fun create(kind: String, name: String, spec: JsonElement) {
         val document = buildJsonObject {
             put(StoreWire.METADATA, buildJsonObject { put(StoreWire.NAME, JsonPrimitive(name)) })
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
@@ -6,6 +6,7 @@
 import comfreypath.coordination.limits.RetryBounds
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.rollout.RolloutBounds
 import comfreypath.router.RouterOptions
 import comfreypath.router.RouterTimeouts
 import comfreypath.router.ServiceBounds
@@ -16,6 +17,9 @@
 private val MAX_DURATION: Duration = Duration.ofMinutes(1)
 private const val MAX_RETRY_SHARE = 10.0
 private const val MAX_RETRY_SLACK = 1_000_000.0
+private const val MAX_ROLLOUT_SLACK = 1_000_000.0
+private val ROLLOUT_SHARE_RANGE = 0.0..1.0
+private val ROLLOUT_SLACK_RANGE = 0.0..MAX_ROLLOUT_SLACK
 private val RETRY_SHARE_RANGE = 0.0..MAX_RETRY_SHARE
 private val RETRY_SLACK_RANGE = 0.0..MAX_RETRY_SLACK
 
@@ -88,6 +92,21 @@
         MAX_DURATION,
     )
 
+    private val rolloutShare = Setting.decimal(
+        name = "rollout-share",
+        description = "the fraction of a service's requests that a bad version may receive during its rollout",
+        unit = "fraction",
+        default = defaultBounds.rollouts.share,
+        range = ROLLOUT_SHARE_RANGE,
+    )
+    private val rolloutSlack = Setting.decimal(
+        name = "rollout-slack",
+        description = "the requests that a bad version may receive during its rollout in addition to that share",
+        unit = "requests",
+        default = defaultBounds.rollouts.slack,
+        range = ROLLOUT_SLACK_RANGE,
+    )
+
     /** All settings, in the order of the help text. */
     val all: List<Setting<*>> = listOf(
         name,
@@ -106,6 +125,8 @@
         retryShare,
         retrySlack,
         retryWindow,
+        rolloutShare,
+        rolloutSlack,
     )
 
     /** Returns the interface that [raw] selects; [CallerInterface.OPENAI] if the value is invalid. */
@@ -119,6 +140,10 @@
             slack = raw.valueOf(retrySlack, defaultBounds.retries.slack),
             window = raw.valueOf(retryWindow, defaultBounds.retries.window),
         ),
+        rollouts = RolloutBounds(
+            share = raw.valueOf(rolloutShare, defaultBounds.rollouts.share),
+            slack = raw.valueOf(rolloutSlack, defaultBounds.rollouts.slack),
+        ),
     )
 
     /** Converts [raw] to options; the error names the first invalid setting, its value and the valid values. */
--- a/daemon/src/test/kotlin/comfreypath/daemon/settings/RouterSettingNamesTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/settings/RouterSettingNamesTest.kt
@@ -45,6 +45,8 @@
             "retry-share",
             "retry-slack",
             "retry-window",
+            "rollout-share",
+            "rollout-slack",
         )
     }
 
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -22,6 +22,7 @@
 import comfreypath.router.request.RouteFilter
 import comfreypath.router.request.StalenessLimits
 import comfreypath.router.request.pipeline
+import comfreypath.router.rollout.VersionRollouts
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.sending.RetryBudgets
@@ -82,10 +83,16 @@
     private val view = ClusterView(context)
     private val pool = ConnectionPool(connector, clock)
     private val endpointTracker = EndpointTracker(context)
-    private val trackers = Trackers(endpointTracker, RetryBudgets(context) { livePeerCount + 1 }, ServiceProgress())
     private val sender = EndpointSender(context, pool, formats.endpoints, endpointTracker)
     private val gossipOptions = GossipOptions()
     private val peers = PeerGossip(context, view, endpointTracker, { ready }, gossipOptions)
+    private val rollouts = VersionRollouts(context, store, view, peers)
+    private val trackers = Trackers(
+        endpointTracker,
+        RetryBudgets(context) { livePeerCount + 1 },
+        ServiceProgress(),
+        rollouts,
+    )
     private val stalenessLimits = StalenessLimits { context.options.bounds }
     private val viewUpdater = ClusterViewUpdater(context, store, view, peers, stalenessLimits, gossipOptions)
     private val claims = ClaimCoordinator(context, store)
@@ -141,6 +148,7 @@
         pages.startReadiness()
         viewUpdater.startRemaining()
         claims.start()
+        rollouts.start()
         pages.startMetrics()
         context.launchLoop("sweep", pass = ::sweep)
         log.record("started")
--- a/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
@@ -4,6 +4,7 @@
 import comfreypath.coordination.limits.RetryBounds
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.rollout.RolloutBounds
 import comfreypath.transport.Address
 import java.time.Duration
 
@@ -68,10 +69,12 @@
  *
  * @property configuration the maximum time until an accepted configuration is in force on every reachable router
  * @property retries the limit on the retries of the whole fleet
+ * @property rollouts the limit on the requests that a bad version receives during its rollout
  * @property revocation the maximum time until no router accepts a revoked key, whether or not the router is reachable
  */
 data class ServiceBounds(
     val configuration: Duration = Duration.ofMillis(CONFIGURATION_MILLISECONDS),
     val retries: RetryBounds = RetryBounds(RETRY_SHARE, RETRY_SLACK, Duration.ofSeconds(RETRY_WINDOW_SECONDS)),
     val revocation: Duration = Duration.ofMillis(REVOCATION_MILLISECONDS),
+    val rollouts: RolloutBounds = RolloutBounds(),
 )
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -16,6 +16,7 @@
 import comfreypath.coordination.fleet.StatusStamp
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.rollout.RolloutReports
 import comfreypath.router.RouterContext
 import comfreypath.router.launchLoop
 import comfreypath.router.request.LivePeers
@@ -69,6 +70,12 @@
     /** True once this router has begun to stop. */
     var draining: Boolean = false
 
+    /** The reports on open rollouts to send to peers; null if there are none. */
+    var rolloutReports: () -> RolloutReports? = { null }
+
+    /** Called for the reports on open rollouts that a peer has sent. */
+    var onRolloutReports: (InstanceName, RolloutReports) -> Unit = { _, _ -> }
+
     /** Called when a peer has a newer configuration. */
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
 
@@ -118,6 +125,7 @@
             },
             digests = view.digests(),
             inFlight = tracker.inFlight(),
+            rollouts = rolloutReports(),
         )
     }
 
@@ -128,6 +136,8 @@
                 success = { status ->
                     val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
                     step(GossipEvent.StatusReceived(status, address))
+                    val isLatest = state.peers[status.from]?.status === status
+                    status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
                 },
                 failure = { reason ->
                     context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -9,6 +9,7 @@
 import comfreypath.coordination.verdict.RetryState
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.router.RouterContext
+import comfreypath.router.rollout.AttemptProbe
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.ResponseActivity
 import comfreypath.router.sending.SendResult
@@ -50,6 +51,7 @@
     private val stallWatch = StallWatch(dependencies, exchange, targets, log)
     private var state = RetryState(route, exchange.deadline)
     private var stream: StreamRelay? = null
+    private var probe: AttemptProbe? = null
 
     /** False once the caller has disconnected; no further attempt is made then. */
     var callerConnected = true
@@ -94,9 +96,12 @@
         val sentAt = context.now()
         dependencies.trackers.progress.recordStart(service, exchange.team)
         entry.inFlight += 1
+        val measured = dependencies.trackers.rollouts.probe(selection.endpoint, exchange).also { probe = it }
+        var outcome: AttemptOutcome? = null
         try {
             val activity = stallWatch.activity(selection)
             val attempt = stallWatch.run(selection, state, activity) { attempt(selection, activity) }
+            outcome = attempt.outcome
             val answered = attempt.outcome is AttemptOutcome.Answered
             if (answered && selection.load < selection.endpoint.slots) {
                 val now = context.now()
@@ -106,6 +111,7 @@
             }
             return attempt
         } finally {
+            measured.end(outcome)
             entry.inFlight -= 1
             dependencies.trackers.progress.recordEnd(service, exchange.team)
         }
@@ -124,6 +130,7 @@
             "route" to route.name,
             "team" to exchange.team,
             "endpoint" to selection.endpoint.name,
+            "version" to selection.endpoint.version,
             "load" to selection.load,
             "candidates" to selection.basis.candidates,
             "endpointsAgeMs" to selection.basis.endpointsAge?.toMillis(),
@@ -132,6 +139,8 @@
             "cacheSource" to selection.cacheSource?.name,
             "outcome" to outcome,
             "action" to decision.javaClass.simpleName,
+            "firstMs" to exchange.firstByteAt?.let { Duration.between(request.receivedAt, it).toMillis() },
+            "events" to stream?.lastEventId,
             "elapsedMs" to Duration.between(request.receivedAt, context.now()).toMillis(),
         )
     }
@@ -186,6 +195,7 @@
         writer = exchange.writer,
         head = head,
         onStart = { exchange.firstByteAt = context.now() },
+        onEvents = { probe?.recordEvents(it) },
         belongsTo = { dependencies.belongsTo(it, request) },
     )
 
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -90,7 +90,7 @@
         val requestHash = hashOf(exchange.request.id.text)
         val service = serviceFor(exchange.route, requestHash)
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
-        val candidates = candidates(registered, excluded, context.now())
+        val candidates = candidates(exchange, registered, excluded, context.now())
         val admission = service?.let { admission(exchange, it, candidates) }
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
@@ -131,20 +131,26 @@
         val sharedPart = exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()
         return if (sharedPart == null) {
             Placement.byLoad(candidates, context.options.dataCentre, requestHash)
-                ?.let { selection(it, null, candidates.size) }
+                ?.let { selection(exchange.route, it, null, candidates.size) }
         } else {
             Placement.byPrompt(candidates, sharedPart.prefixId, loads.mean(registered))?.let { chosen ->
                 val source = cacheSource(registered, chosen.endpoint, sharedPart.prefixId)
                 promptEndpoints.record(sharedPart.prefixId, chosen.endpoint.name)
-                selection(chosen, source, candidates.size)
+                selection(exchange.route, chosen, source, candidates.size)
             }
         }
     }
 
-    private fun selection(candidate: Candidate, cacheSource: Endpoint?, candidates: Int): Selection {
+    private fun selection(
+        route: Route,
+        candidate: Candidate,
+        cacheSource: Endpoint?,
+        candidates: Int,
+    ): Selection {
         val entry = trackers.endpoints.entry(candidate.endpoint.name)
         val now = context.now()
         entry.coldBucket = entry.coldBucket?.acquire(now)
+        trackers.rollouts.recordSent(candidate.endpoint, route)
         val basis = SelectionBasis(
             candidates = candidates,
             endpointsAge = view.endpoints.entries.confirmedAt?.let { Duration.between(it, now) },
@@ -154,8 +160,14 @@
         return Selection(candidate.endpoint, candidate.load, cacheSource, basis)
     }
 
-    private fun candidates(registered: List<Endpoint>, excluded: Set<EndpointName>, now: Instant): List<Candidate> {
-        val eligible = registered.filter { it.name !in excluded && acceptsRequests(it) && admitsIfCold(it, now) }
+    private fun candidates(
+        exchange: CallerExchange,
+        registered: List<Endpoint>,
+        excluded: Set<EndpointName>,
+        now: Instant,
+    ): List<Candidate> {
+        val available = registered.filter { it.name !in excluded && acceptsRequests(it) && admitsIfCold(it, now) }
+        val eligible = trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
         val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
             .ifEmpty { eligible }
         return HealthFilter.usable(responsive, now) { trackers.endpoints.entry(it.name).health }.map { endpoint ->
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.health.HealthEvidence
+import comfreypath.coordination.rollout.AttemptResult
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.UnknownReason
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -27,3 +28,11 @@
         UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
 }
+
+/** What this outcome of an attempt shows about the version of its endpoint; null if nothing. */
+internal fun AttemptOutcome.toAttemptResult(): AttemptResult? = when (this) {
+    is AttemptOutcome.Answered ->
+        if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) AttemptResult.ANSWERED else AttemptResult.FAILED
+    is AttemptOutcome.Unknown -> AttemptResult.LOST
+    is AttemptOutcome.NotRun, is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> null
+}
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -30,12 +30,14 @@
  *
  * @property head the head of the response whose first event starts the stream
  * @property onStart called when the first event goes to the caller
+ * @property onEvents called with the number of events of the caller's request that have arrived
  * @property belongsTo whether an event belongs to the caller's request; other events are dropped
  */
 class StreamRelay(
     private val writer: ResponseWriter,
     private val head: EndpointResponseHead,
     private val onStart: () -> Unit,
+    private val onEvents: (Int) -> Unit,
     private val belongsTo: (StreamEvent) -> Boolean,
 ) {
     /** The id of the last event relayed; null before the first. */
@@ -69,15 +71,18 @@
 
     private suspend fun write(events: List<StreamEvent>) {
         val bytes = ByteArrayOutputStream()
+        var relayed = 0
         events.forEach { event ->
             val last = lastEventId
             val duplicate = event.id != null && last != null && event.id <= last
             if (!duplicate && belongsTo(event)) {
                 bytes.writeBytes(event.bytes)
                 lastEventId = event.id ?: last
+                relayed += 1
             }
         }
         if (bytes.size() > 0) {
+            onEvents(relayed)
             start()
             writer.writeChunk(bytes.toByteArray())
         }
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -0,0 +1,132 @@
+package comfreypath.router.rollout
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import comfreypath.coordination.rollout.RolloutAction
+import comfreypath.coordination.rollout.RolloutController
+import comfreypath.coordination.rollout.RolloutEvent
+import comfreypath.coordination.rollout.RolloutProgress
+import comfreypath.coordination.rollout.VersionVerdict
+import comfreypath.coordination.routing.Rollout
+import comfreypath.router.RouterContext
+import comfreypath.router.store.ObjectKinds
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoredObject
+import kotlinx.coroutines.launch
+
+/**
+ * Executes the actions of the [RolloutController] for one rollout, and logs its decisions.
+ *
+ * @param name the name of the rollout's object
+ * @param announce sends a status message to all peers soon if the argument is true
+ */
+internal class RolloutDriver(
+    private val context: RouterContext,
+    private val store: ObjectStore,
+    private val name: String,
+    order: Rollout,
+    revision: Long,
+    private val announce: (Boolean) -> Unit,
+) {
+    private val controller get() = RolloutController(context.options.bounds.rollouts)
+    private var closed = false
+
+    /** The rollout as this router knows it. */
+    var progress: RolloutProgress = controller.start(order, revision, context.now())
+        private set
+
+    init {
+        logOrder()
+    }
+
+    /** Applies [event] and performs the actions that follow. */
+    fun step(event: RolloutEvent) {
+        if (closed) {
+            return
+        }
+        val before = progress
+        val next = controller.step(before, event, context.now())
+        progress = next.state
+        logChanges(before, event)
+        next.actions.forEach { action ->
+            when (action) {
+                is RolloutAction.Write -> context.scope.launch { write(action) }
+                RolloutAction.Read -> context.scope.launch { read() }
+                RolloutAction.Announce -> announce(true)
+            }
+        }
+    }
+
+    /** Ends the rollout, since its object was removed. */
+    fun close() {
+        closed = true
+        context.metrics.rolloutHeld.labelValues(progress.order.service.text).set(0.0)
+        context.log.record("rollout_removed", "service" to progress.order.service, "target" to progress.order.target)
+    }
+
+    private suspend fun write(action: RolloutAction.Write) {
+        val value = action.order.copy(state = action.state, stateTarget = action.order.target)
+        val result = store.replaceStatus(ObjectKinds.ROLLOUTS, name, value, action.expectedRevision)
+        record(
+            "rollout_write",
+            "state" to action.state,
+            "expectedRevision" to action.expectedRevision,
+            result.outcome()
+        )
+        val written = result.fold({ it }, { null })
+        step(written?.let { toWriteDone(it) } ?: RolloutEvent.WriteNotConfirmed)
+    }
+
+    private suspend fun read() {
+        val result = store.read(ObjectKinds.ROLLOUTS, name)
+        record("rollout_read", result.outcome())
+        val stored = result.fold({ it }, { null })
+        step(stored?.let { toWriteDone(it) } ?: RolloutEvent.ReadFailed)
+    }
+
+    private fun toWriteDone(stored: StoredObject<Rollout>): RolloutEvent? =
+        stored.value.fold({ RolloutEvent.WriteDone(it, stored.revision) }, { null })
+
+    private fun Result<*, StoreError>.outcome() = "outcome" to fold({ "answered" }, { it })
+
+    private fun logOrder() = record(
+        "rollout_ordered",
+        "durationMs" to progress.order.duration.toMillis(),
+        "state" to progress.recorded,
+    )
+
+    private fun logChanges(before: RolloutProgress, event: RolloutEvent) {
+        val orderChanged =
+            before.order.target != progress.order.target || before.order.duration != progress.order.duration
+        if (orderChanged) {
+            logOrder()
+        } else if (before.recorded != progress.recorded) {
+            record("rollout_state", "state" to progress.recorded)
+        }
+        if (before.verdict != progress.verdict) {
+            val worst = progress.judge.worst
+            record(
+                "rollout_verdict",
+                "verdict" to progress.verdict,
+                "from" to (event as? RolloutEvent.ReportReceived)?.from,
+                "aspect" to worst?.key?.aspect,
+                "score" to worst?.value,
+                "responses" to progress.judge.responses,
+                "requests" to progress.quota.total.requests,
+                "canaries" to progress.quota.total.canaries,
+            )
+            val held = progress.verdict == VersionVerdict.BAD
+            context.metrics.rolloutHeld.labelValues(progress.order.service.text).set(if (held) 1.0 else 0.0)
+        }
+    }
+
+    private fun record(event: String, vararg fields: Pair<String, Any?>) = context.log.record(
+        event,
+        "service" to progress.order.service,
+        "target" to progress.order.target,
+        "revision" to progress.revision,
+        "ageMs" to progress.age(context.now()).toMillis(),
+        *fields,
+    )
+}
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -0,0 +1,144 @@
+package comfreypath.router.rollout
+
+import comfreypath.coordination.fleet.StoreWatcherSelector
+import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.mix
+import comfreypath.coordination.placement.unitInterval
+import comfreypath.coordination.rollout.AttemptResult
+import comfreypath.coordination.rollout.AttemptSample
+import comfreypath.coordination.rollout.LatencyBaselines
+import comfreypath.coordination.rollout.RolloutEvent
+import comfreypath.coordination.rollout.RolloutReport
+import comfreypath.coordination.rollout.RolloutReports
+import comfreypath.coordination.rollout.RouteEvidence
+import comfreypath.coordination.rollout.VersionFilter
+import comfreypath.coordination.rollout.VersionRequest
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.Route
+import comfreypath.router.RouterContext
+import comfreypath.router.peers.PeerGossip
+import comfreypath.router.request.CallerExchange
+import comfreypath.router.store.ObjectStore
+import comfreypath.router.view.ClusterView
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private const val TICK_MILLISECONDS = 100L
+
+/** More rollouts at once than this are not reported to peers, to bound the size of status messages. */
+private const val MAX_REPORTS = 4
+private const val VERSION_SALT = 0x76657273696f6eL
+
+/** Chooses between the versions of services that are being rolled out, and measures how they respond. */
+class VersionRollouts(
+    private val context: RouterContext,
+    private val store: ObjectStore,
+    private val view: ClusterView,
+    private val peers: PeerGossip,
+) {
+    private val latencies = LatencyBaselines()
+    private val ranks = StoreWatcherSelector()
+    private val drivers = HashMap<String, RolloutDriver>()
+    private var byService: Map<ServiceName, RolloutDriver> = emptyMap()
+
+    /** Follows the rollouts in the store. */
+    fun start() {
+        view.rollouts.onChange(::follow)
+        peers.rolloutReports = ::reports
+        peers.onRolloutReports = ::receive
+        follow()
+        context.scope.launch {
+            while (true) {
+                delay(TICK_MILLISECONDS)
+                drivers.values.forEach(::tick)
+            }
+        }
+    }
+
+    private fun follow() {
+        val orders = view.rollouts.values
+        drivers.keys.filter { it !in orders }.forEach { drivers.remove(it)?.close() }
+        orders.forEach { (name, order) ->
+            val revision = view.rollouts.revisionOf(name) ?: 0
+            val driver = drivers[name]
+            if (driver == null) {
+                drivers[name] = RolloutDriver(context, store, name, order, revision, peers::announceUpdate)
+            } else {
+                driver.step(RolloutEvent.OrderReceived(order, revision))
+            }
+        }
+        byService = drivers.values.associateBy { it.progress.order.service }
+    }
+
+    private fun tick(driver: RolloutDriver) {
+        val order = driver.progress.order
+        val usable = view.endpoints.forService(order.service).any { it.version == order.target && !it.draining }
+        val rank = ranks.precedingCount("rollout ${order.service}", context.options.name, peers.live, context.now())
+        driver.step(RolloutEvent.Tick(rank, usable))
+    }
+
+    private fun reports(): RolloutReports? = drivers.values.filter { it.progress.open }
+        .take(MAX_REPORTS)
+        .map { it.progress.report(context.now()) }
+        .takeIf { it.isNotEmpty() }
+        ?.let { RolloutReports(it) }
+
+    private fun receive(from: InstanceName, reports: RolloutReports) = reports.reports.forEach { report ->
+        drivers.values.filter { RolloutReport.orderKey(it.progress.order) == report.order }
+            .forEach { it.step(RolloutEvent.ReportReceived(from, report)) }
+    }
+
+    /** Those of [endpoints] whose version may receive the request of [exchange]. */
+    fun allowed(endpoints: List<Endpoint>, exchange: CallerExchange, retry: Boolean): List<Endpoint> {
+        val driver = endpoints.firstOrNull()?.let { byService[it.service] } ?: return endpoints
+        val request = VersionRequest(
+            route = RolloutReport.routeKey(exchange.route.name),
+            hash = unitInterval(mix(chatHash(exchange), VERSION_SALT)),
+            retry = retry,
+            routers = maxOf(peers.live.size + 1, view.routers.values.size),
+        )
+        return VersionFilter(
+            context.options.bounds.rollouts
+        ).allowed(driver.progress, request, endpoints, context.now())
+    }
+
+    /** The hash of the part of the prompt that a chat's requests share, or of the request if there is none. */
+    private fun chatHash(exchange: CallerExchange): Long =
+        exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId ?: hashOf(exchange.request.id.text)
+
+    /** Records that a request on [route] is sent to [endpoint]. */
+    fun recordSent(endpoint: Endpoint, route: Route) {
+        byService[endpoint.service]?.takeIf { it.progress.open }?.let { driver ->
+            driver.step(RolloutEvent.Sent(RolloutReport.routeKey(route.name), endpoint.version))
+            val target = endpoint.version == driver.progress.order.target
+            context.metrics.rolloutRequests.labelValues(endpoint.service.text, target.toString()).inc()
+        }
+    }
+
+    /** Measures an attempt of [exchange] at [endpoint]. */
+    fun probe(endpoint: Endpoint, exchange: CallerExchange): AttemptProbe = AttemptProbe(
+        clock = context.clock,
+        blank = AttemptSample(
+            route = "${endpoint.service} ${exchange.route.name}",
+            target = byService[endpoint.service]?.progress?.order?.target == endpoint.version,
+            result = AttemptResult.RESPONDING,
+            hasPrompt = exchange.request.prompt != null,
+        ),
+        timed = !view.endpoints.isCold(endpoint, context.now()),
+    ) { record(it, endpoint, exchange.route) }
+
+    private fun record(sample: AttemptSample, endpoint: Endpoint, route: Route) {
+        val driver = byService[endpoint.service]
+        if (driver != null && driver.progress.open) {
+            val tallies = latencies.classify(sample).toPersistentMap()
+            val evidence = if (sample.target) RouteEvidence(target = tallies) else RouteEvidence(baseline = tallies)
+            driver.step(RolloutEvent.Sampled(RolloutReport.routeKey(route.name), evidence))
+        }
+        if (!sample.target) {
+            latencies.record(sample)
+        }
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
@@ -1,10 +1,18 @@
 package comfreypath.router.sending
 
+import comfreypath.router.rollout.VersionRollouts
+
 /**
  * The counts and measurements that this router updates while it sends requests.
  *
  * @property endpoints requests in flight at each endpoint, and its observed health
  * @property retries retry budgets by service
  * @property progress requests in progress at each service, and their expected duration
+ * @property rollouts the versions in use during rollouts, and how they respond
  */
-class Trackers(val endpoints: EndpointTracker, val retries: RetryBudgets, val progress: ServiceProgress)
+class Trackers(
+    val endpoints: EndpointTracker,
+    val retries: RetryBudgets,
+    val progress: ServiceProgress,
+    val rollouts: VersionRollouts,
+)
--- a/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
@@ -71,6 +71,14 @@
         expectedRevision: Long,
     ): Result<StoredObject<T>, StoreError>
 
+    /** Replaces the status of an object; fails with [StoreError.Conflict] if its revision is not [expectedRevision]. */
+    suspend fun <T : Any> replaceStatus(
+        kind: ObjectKind<T>,
+        name: String,
+        value: T,
+        expectedRevision: Long,
+    ): Result<StoredObject<T>, StoreError>
+
     /** Decodes an object that another router passed on; null if it is malformed. */
     fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>?
 
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -50,6 +50,14 @@
     /** Failures of background tasks, by task. */
     val taskFailures: Counter = counter("comfreypath_task_failures_total", "Background tasks failed.", "task")
 
+
+    /** Requests of services that are being rolled out, by service and by whether they went to the target version. */
+    val rolloutRequests: Counter =
+        counter("comfreypath_rollout_requests_total", "Requests during rollouts.", "service", "target")
+
+    /** 1 while the target version of a service's rollout is held as bad, else 0. */
+    val rolloutHeld: Gauge = gauge("comfreypath_rollout_held", "Target version is held as bad.", "service")
+
     /** Requests in progress. */
     val inProgress: Gauge = gauge("comfreypath_in_progress", "Requests in progress.")
 
@@ -68,7 +76,8 @@
     private fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).also { it.labelNames(*labels) }.register(registry)
 
-    private fun gauge(name: String, help: String): Gauge = Gauge.builder().name(name).help(help).register(registry)
+    private fun gauge(name: String, help: String, vararg labels: String): Gauge =
+        Gauge.builder().name(name).help(help).also { it.labelNames(*labels) }.register(registry)
 
     /** The bytes of control traffic so far, sent and received. */
     fun controlBytesTotal(): Long = controlBytes.collect().dataPoints.sumOf { it.value.toLong() }
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -40,6 +40,9 @@
     override val digest: KindDigest?
         get() = lastDigest ?: confirmedAt?.let { KindDigest(revision, revisions.hashCode()) }.also { lastDigest = it }
 
+    /** The store revision of the last change of the object called [name]; null if it is not known. */
+    fun revisionOf(name: String): Long? = revisions[name]
+
     /** Calls [listener] after each change. */
     fun onChange(listener: () -> Unit) {
         listeners += listener
--- a/router/src/test/kotlin/comfreypath/router/RouterOptionsTextTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/RouterOptionsTextTest.kt
@@ -1,6 +1,7 @@
 package comfreypath.router
 
 import comfreypath.coordination.limits.RetryBounds
+import comfreypath.coordination.rollout.RolloutBounds
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -26,10 +27,11 @@
             configuration = Duration.ofSeconds(2),
             retries = RetryBounds(share = 0.2, slack = 50.0, window = Duration.ofSeconds(10)),
             revocation = Duration.ofSeconds(5),
+            rollouts = RolloutBounds(share = 0.1, slack = 50.0),
         )
         expectThat(bounds.toString()).isEqualTo(
             "ServiceBounds(configuration=PT2S, retries=RetryBounds(share=0.2, slack=50.0, window=PT10S), " +
-                "revocation=PT5S)",
+                "revocation=PT5S, rollouts=RolloutBounds(share=0.1, slack=50.0))",
         )
     }
 }
--- a/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
+++ b/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
@@ -41,6 +41,13 @@
         expectedRevision: Long,
     ): Result<StoredObject<T>, StoreError> = refused
 
+    override suspend fun <T : Any> replaceStatus(
+        kind: ObjectKind<T>,
+        name: String,
+        value: T,
+        expectedRevision: Long,
+    ): Result<StoredObject<T>, StoreError> = refused
+
     override fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>? = null
 
     override suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError> = refused
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -56,6 +56,12 @@
         # HELP comfreypath_responses_written_total Responses written completely.
         # TYPE comfreypath_responses_written_total counter
         comfreypath_responses_written_total 11.0
+        # HELP comfreypath_rollout_held Target version is held as bad.
+        # TYPE comfreypath_rollout_held gauge
+        comfreypath_rollout_held{service="model"} 1.0
+        # HELP comfreypath_rollout_requests_total Requests during rollouts.
+        # TYPE comfreypath_rollout_requests_total counter
+        comfreypath_rollout_requests_total{service="model",target="true"} 8.0
         # HELP comfreypath_store_calls_total Calls to the store.
         # TYPE comfreypath_store_calls_total counter
         comfreypath_store_calls_total{kind="endpoints",outcome="answered",verb="list"} 6.0
@@ -74,6 +80,8 @@
         metrics.attempts.labelValues("Answered").inc(2)
         metrics.controlBytes.labelValues("sent").inc(3)
         metrics.refused.labelValues("overloaded").inc(5)
+        metrics.rolloutHeld.labelValues("model").set(1.0)
+        metrics.rolloutRequests.labelValues("model", "true").inc(8)
         metrics.storeCalls.labelValues("list", "endpoints", "answered").inc(6)
         metrics.violations.labelValues("at_most_once").inc(7)
         metrics.connectionsRefused.inc(8)
--- a/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
@@ -6,11 +6,8 @@
 import comfreypath.coordination.routing.Configuration
 import comfreypath.router.MonotonicClock
 import comfreypath.router.TestContext
-import comfreypath.router.store.ObjectChanges
-import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectKinds
-import comfreypath.router.store.ObjectPage
-import comfreypath.router.store.ObjectStore
+import comfreypath.router.store.ScriptedStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
 import comfreypath.transport.dispatcher
@@ -46,7 +43,7 @@
 
     private fun probe(read: suspend () -> Result<StoredObject<Configuration>?, StoreError>) = ConfigurationProbe(
         context = context,
-        store = ReadOnlyStore(read),
+        store = ScriptedStore(onRead = read),
         view = view,
         sink = ConfigurationSink(context, view),
         ageRange = { ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(1)) },
@@ -86,38 +83,4 @@
         expectThat(probe.confirmedWithin(maxAge)).isFalse()
         expectThat(Duration.between(refusedAt, clock.instant())).isLessThan(Duration.ofMillis(100))
     }
-
-    private class ReadOnlyStore(
-        private val read: suspend () -> Result<StoredObject<Configuration>?, StoreError>,
-    ) : ObjectStore {
-        override suspend fun <T : Any> list(kind: ObjectKind<T>, after: String?): Result<ObjectPage<T>, StoreError> =
-            error("not used")
-
-        override suspend fun <T : Any> watch(
-            kind: ObjectKind<T>,
-            revision: Long,
-            maxWait: Duration,
-        ): Result<ObjectChanges<T>, StoreError> = error("not used")
-
-        @Suppress("UNCHECKED_CAST")
-        override suspend fun <T : Any> read(kind: ObjectKind<T>, name: String): Result<StoredObject<T>?, StoreError> =
-            read() as Result<StoredObject<T>?, StoreError>
-
-        override suspend fun <T : Any> create(
-            kind: ObjectKind<T>,
-            name: String,
-            value: T,
-        ): Result<StoredObject<T>, StoreError> = error("not used")
-
-        override suspend fun <T : Any> replace(
-            kind: ObjectKind<T>,
-            name: String,
-            value: T,
-            expectedRevision: Long,
-        ): Result<StoredObject<T>, StoreError> = error("not used")
-
-        override fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>? = error("not used")
-
-        override suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError> = error("not used")
-    }
 }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -26,6 +26,7 @@
  * @property abortResponses runs requests to a plain server but closes the connection without a response
  * @property unsigned omits the signature of responses
  * @property workMilliseconds the time that a plain server takes for a request; null for its default
+ * @property eventMilliseconds the time that an engine takes for an event; null for its default
  * @property truncateEvent makes [abortAfterEvents] abort streams in the middle of the next event
  * @property endAborted makes [abortAfterEvents] end streams with their last chunk instead of closing the connection
  * @property failResumed responds with status 500 to requests that resume a stream
@@ -45,6 +46,7 @@
     val failResumed: Boolean = false,
     val pauseAfterEvents: Int? = null,
     val pauseMilliseconds: Long = 0,
+    val eventMilliseconds: Long? = null,
 )
 
 /** A request that a platform server stand-in received, and whether it ran. */
@@ -144,7 +146,7 @@
         val last = eventCount(request)
         writer.start(HttpResponseStatus.OK, headers + ("Content-Type" to "text/event-stream"))
         for (number in first..last) {
-            delay(eventMilliseconds)
+            delay(faults.eventMilliseconds ?: eventMilliseconds)
             if (number - first >= (faults.abortAfterEvents ?: last)) {
                 if (faults.truncateEvent) writer.writeChunk("id: $number\nda".encodeToByteArray())
                 delay(eventMilliseconds)
