Spread requests evenly while versions get uneven shares

Cause: while half of the servers are idle the mean over all of them is half of what each of the others bears, so that the limit is the active servers' mean + 3. Loads of peers are up to 0.6 s old; routers that all choose the least loaded server overload it together.

From the order until 3 s after its end each router now keeps its own requests at each endpoint at their mean or one above, which needs no message.

The new test of PlacementTest has no counterpart before: withinEvenShare is new.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -64,6 +64,19 @@
         return best
     }
 
+    /**
+     * The candidates that this router may send to if its own requests are to be spread evenly.
+     *
+     * The loads that peers report are some hundred milliseconds old, so that routers which all choose the least loaded
+     * endpoint overload it together. Even shares of each router give an even sum without any message.
+     *
+     * @param ownLoad the requests that this router has in flight at an endpoint
+     */
+    fun withinEvenShare(candidates: List<Candidate>, ownLoad: (Candidate) -> Int): List<Candidate> {
+        val total = candidates.sumOf(ownLoad)
+        return candidates.filter { ownLoad(it) * candidates.size <= total }
+    }
+
     /**
      * The endpoint for a request without a shared prompt prefix, or null if there are no candidates.
      *
--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/PlacementTest.kt
@@ -68,4 +68,16 @@
         expectThat(Placement.byPrompt(emptyList(), 1)).isNull()
         expectThat(Placement.byLoad(emptyList(), DataCentreName("dc-1"), 1)).isNull()
     }
+
+    @Test
+    fun `a router spreads its own requests evenly although it last heard that one endpoint is idle`() {
+        (2..6).forEach { loads["engine-$it"] = 20 }
+        val own = HashMap<String, Int>()
+        repeat(60) { number ->
+            val even = Placement.withinEvenShare(candidates(6)) { own[it.endpoint.name.text] ?: 0 }
+            val chosen = checkNotNull(Placement.byPrompt(even, mix(number.toLong(), 5)))
+            own.merge(chosen.endpoint.name.text, 1, Int::plus)
+            expectThat(own.values.max()).isLessThanOrEqualTo(number / 6 + 1)
+        }
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -95,7 +95,7 @@
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
         } else {
-            val selection = place(exchange, registered, candidates, requestHash)
+            val selection = place(exchange, registered, placeable(candidates), requestHash)
             exchange.offered = exchange.offered || selection != null
             selection?.let { SelectionResult.Selected(it) } ?: SelectionResult.NoEndpoint
         }
@@ -179,6 +179,16 @@
     fun accepts(selection: Selection): Boolean =
         view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && acceptsRequests(it) }
 
+    /** Those of [candidates] among which to place a request; fewer while versions get uneven shares. */
+    private fun placeable(candidates: List<Candidate>): List<Candidate> {
+        val service = candidates.firstOrNull()?.endpoint?.service
+        return if (service != null && trackers.rollouts.isShiftingTraffic(service)) {
+            Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
+        } else {
+            candidates
+        }
+    }
+
     private fun acceptsRequests(endpoint: Endpoint): Boolean =
         !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
 
--- a/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -14,6 +14,7 @@
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
 import kotlinx.coroutines.launch
+import java.time.Instant
 
 /**
  * Executes the actions of the [RolloutController] for one rollout, and logs its decisions.
@@ -36,6 +37,10 @@
     var progress: RolloutProgress = controller.start(order, revision, context.now())
         private set
 
+    /** When this router learned that the rollout was completed or rolled back; long ago if it never saw it open. */
+    var closedAt: Instant = Instant.EPOCH
+        private set
+
     init {
         logOrder()
     }
@@ -103,6 +108,7 @@
             logOrder()
         } else if (before.recorded != progress.recorded) {
             record("rollout_state", "state" to progress.recorded)
+            closedAt = if (progress.open) closedAt else context.now()
         }
         if (before.verdict != progress.verdict) {
             val worst = progress.judge.worst
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -25,11 +25,13 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.time.Duration
 
 private const val TICK_MILLISECONDS = 100L
 
 /** More rollouts at once than this are not reported to peers, to bound the size of status messages. */
 private const val MAX_REPORTS = 4
+private const val SETTLING_SECONDS = 3L
 private const val VERSION_SALT = 0x76657273696f6eL
 
 /** Chooses between the versions of services that are being rolled out, and measures how they respond. */
@@ -105,9 +107,15 @@
         ).allowed(driver.progress, request, endpoints, context.now())
     }
 
-    /** The hash of the part of the prompt that a chat's requests share, or of the request if there is none. */
-    private fun chatHash(exchange: CallerExchange): Long =
-        exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId ?: hashOf(exchange.request.id.text)
+    /**
+     * True while the endpoints of some versions of [service] get few requests, or did a moment ago.
+     *
+     * The others then bear the load of all, so that the mean over all endpoints says little about each of them.
+     */
+    fun isShiftingTraffic(service: ServiceName): Boolean {
+        val driver = byService[service] ?: return false
+        return driver.progress.open || context.now() < driver.closedAt + SETTLING_TIME
+    }
 
     /** Records that a request on [route] is sent to [endpoint]. */
     fun recordSent(endpoint: Endpoint, route: Route) {
@@ -141,4 +149,13 @@
             latencies.record(sample)
         }
     }
+
+    private companion object {
+        /** The time until the endpoints of the version that lost its traffic have left. */
+        val SETTLING_TIME: Duration = Duration.ofSeconds(SETTLING_SECONDS)
+    }
 }
+
+/** The hash of the part of the prompt that a chat's requests share, or of the request if there is none. */
+private fun chatHash(exchange: CallerExchange): Long =
+    exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId ?: hashOf(exchange.request.id.text)
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -50,7 +50,6 @@
     /** Failures of background tasks, by task. */
     val taskFailures: Counter = counter("comfreypath_task_failures_total", "Background tasks failed.", "task")
 
-
     /** Requests of services that are being rolled out, by service and by whether they went to the target version. */
     val rolloutRequests: Counter =
         counter("comfreypath_rollout_requests_total", "Requests during rollouts.", "service", "target")
