--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
@@ -10,6 +10,7 @@
 import comfreypath.router.Router
 import comfreypath.router.RouterOptions
 import comfreypath.router.WireFormats
+import comfreypath.router.request.EndpointDialect
 import comfreypath.standins.ObjectStoreStandIn
 import comfreypath.standins.PlatformServerStandIn
 import comfreypath.transport.Address
@@ -32,6 +33,7 @@
     private val engineCount: Int = 2,
     private val plainCount: Int = 2,
     private val customizeRouter: (RouterOptions) -> RouterOptions = { it },
+    private val endpointDialect: EndpointDialect = PlatformEndpointDialect(),
 ) {
     private val loops = eventLoops("platform-fleet", THREAD_COUNT)
 
@@ -126,7 +128,7 @@
     /** Starts a router with the given options. */
     suspend fun launch(options: RouterOptions): RunningRouter {
         val loop = loops.next()
-        val formats = WireFormats(PlatformCallerDialect(), PlatformEndpointDialect())
+        val formats = WireFormats(PlatformCallerDialect(), endpointDialect)
         val router = Router(options, loop, formats, ::PlatformStore) { violations += it }
         withContext(loop.dispatcher()) { router.start() }
         return RunningRouter(router, loop, options).also { routers += it }
--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
@@ -4,7 +4,9 @@
 import comfreypath.daemon.demo.PlatformCaller
 import comfreypath.daemon.demo.PlatformFleet
 import comfreypath.daemon.demo.PlatformRequest
+import comfreypath.platform.PlatformEndpointDialect
 import comfreypath.router.RouterOptions
+import comfreypath.router.request.EndpointDialect
 import comfreypath.standins.PlatformServerFaults
 import comfreypath.standins.PlatformServerStandIn
 import comfreypath.standins.ReceivedRequest
@@ -18,8 +20,12 @@
 private const val MAX_POLLS = 400
 
 /** Runs a small fleet with the platform's interface, and sends requests to it. */
-class PlatformFixture(routers: Int = 1, customizeRouter: (RouterOptions) -> RouterOptions = { it }) {
-    val fleet = PlatformFleet(routerCount = routers, customizeRouter = customizeRouter)
+class PlatformFixture(
+    routers: Int = 1,
+    endpointDialect: EndpointDialect = PlatformEndpointDialect(),
+    customizeRouter: (RouterOptions) -> RouterOptions = { it },
+) {
+    val fleet = PlatformFleet(routers, customizeRouter = customizeRouter, endpointDialect = endpointDialect)
     private val caller = PlatformCaller(fleet.callerLoop)
 
     /** Runs [test] between start and stop of the fleet, and expects that no invariant was violated. */
