Count a response as incomplete when its connection is closed by the router

A response without a length is complete when its connection ends. HttpConnection also took its own close for that end: a reader that was still waiting got the body so far as a complete one. So far only exchanges whose reader has gone are closed, so that no caller is known to have seen it.

Evidence: the new test failed on the old code with "found End". A close by the router now aborts the response. A further test resets the connection after each byte of such a response; that held already.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -97,10 +97,8 @@
         exchangeInProgress = false
     }
 
-    /** Closes the connection. */
-    fun close() {
-        channel.close()
-    }
+    /** Closes the connection; a response in progress is incomplete. */
+    fun close() = abort(AbortReason.CLOSED)
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
--- a/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
@@ -128,6 +128,36 @@
         expectThat(receive().last()).isEqualTo(ResponsePart.Aborted(AbortReason.RESET))
     }
 
+    @Test
+    fun `a response without a length that is reset anywhere never counts as complete`() {
+        val response = "HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\n\r\nhello"
+        (1..response.length).forEach { length ->
+            serve { socket ->
+                socket.getOutputStream().write(response.take(length).encodeToByteArray())
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+            expectThat(receive().last()).describedAs("reset after $length bytes").isA<ResponsePart.Aborted>()
+        }
+    }
+
+    @Test
+    fun `a response without a length is not complete when its reader closes the connection`() {
+        serve { socket ->
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhel".encodeToByteArray())
+            socket.getInputStream().read()
+        }
+        onLoop {
+            val connection = connect()
+            connection.send(head(HttpMethod.GET), ByteArray(0))
+            expectThat(connection.next()).isA<ResponsePart.Head>()
+            expectThat(connection.next()).isA<ResponsePart.Bytes>()
+            connection.close()
+            expectThat(connection.next()).isA<ResponsePart.Aborted>()
+            connection
+        }
+    }
+
     @Test
     fun `bytes that are not an HTTP response are reported as malformed`() {
         serve { it.getOutputStream().write("SSH-2.0-OpenSSH_9.2\r\n\r\n".encodeToByteArray()) }
