--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.json.JsonUnquotedLiteral
 import org.apache.commons.rng.simple.RandomSource
 
 private const val MAX_VALUE_BYTES = 1_048_576
@@ -43,6 +45,15 @@
         }
     }
 
+    /** Creates or replaces an object as another writer does; [spec] appears unchanged in all responses. */
+    @OptIn(ExperimentalSerializationApi::class)
+    fun put(kind: String, name: String, spec: String) {
+        val literal = JsonUnquotedLiteral(spec)
+        if (objects.create(kind, name, literal) is WriteOutcome.Conflict) {
+            objects.update(kind, name, expected = null) { it.copy(spec = literal) }
+        }
+    }
+
     private suspend fun handle(request: IncomingRequest, writer: ResponseWriter) {
         when {
             request.path == "/faults" -> handleFaults(request, writer)
