--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -26,6 +26,7 @@
 import java.time.Instant
 
 private const val STALL_LIMIT_MILLISECONDS = 1_500L
+private const val WEIGHT_SALT = 0x776569676874L
 
 /**
  * The endpoint selected for an attempt.
@@ -88,7 +89,7 @@
     /** Selects an endpoint for the next attempt, other than those in [excluded]. */
     fun select(exchange: CallerExchange, excluded: Set<EndpointName>): SelectionResult {
         val requestHash = hashOf(exchange.request.id.text)
-        val service = serviceFor(exchange.route, requestHash)
+        val service = exchange.route.serviceFor(requestHash)
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
         val candidates = candidates(exchange, registered, excluded, context.now())
         val admission = service?.let { admission(exchange, it, candidates) }
@@ -219,18 +220,14 @@
             recent.firstNotNullOfOrNull { name -> registered.firstOrNull { it.name == name } } ?: preferred
         }
     }
+}
 
-    /** Picks a destination by weight. All attempts of a request get the same one. */
-    private fun serviceFor(route: Route, requestHash: Long): ServiceName? {
-        val total = route.destinations.sumOf { it.weight }
-        var point = (unitInterval(mix(requestHash, WEIGHT_SALT)) * total).toInt()
-        return route.destinations.firstOrNull {
-            point -= it.weight
-            point < 0
-        }?.service ?: route.destinations.lastOrNull()?.service
-    }
-
-    private companion object {
-        const val WEIGHT_SALT = 0x776569676874L
-    }
+/** Picks a destination by weight. All attempts of a request get the same one. */
+private fun Route.serviceFor(requestHash: Long): ServiceName? {
+    val total = destinations.sumOf { it.weight }
+    var point = (unitInterval(mix(requestHash, WEIGHT_SALT)) * total).toInt()
+    return destinations.firstOrNull {
+        point -= it.weight
+        point < 0
+    }?.service ?: destinations.lastOrNull()?.service
 }
