Take a refusal as not run without waiting for its body

Callers saw: an endpoint's refusal whose head said that the request had not run, but whose body did not arrive, kept the request waiting to its deadline; then it was answered 504 as may have run, although it could have been sent elsewhere.

The head alone decides. The body is read for at most 100 ms, so that the connection can be kept.

--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -7,9 +7,11 @@
 import comfreypath.router.sending.SendResult
 import comfreypath.router.sending.toUnknownReason
 import comfreypath.transport.ResponsePart
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 
 private const val MAX_RESPONSE_BYTES = 16_777_216
+private const val REFUSAL_BODY_MILLISECONDS = 100L
 
 /**
  * The outcome of an attempt and the result that it produced for the caller.
@@ -28,16 +30,19 @@
     /** Reads a response of [endpoint] into memory. */
     suspend fun readFully(endpoint: Endpoint, sent: SendResult.Responding): CompletedAttempt {
         val body = ByteArrayOutputStream()
-        val failure = readBody(sent.exchange, body)
         val head = sent.head
-        return when {
-            head.notRun -> CompletedAttempt(notRun(head), connectionReusable = failure == null)
-            failure != null -> CompletedAttempt(AttemptOutcome.Unknown(failure))
-            else -> {
-                val response = FullResponse(head.status, head.forwardedHeaders, body.toByteArray())
-                val result = RelayResult.Response(response, endpoint.name)
-                CompletedAttempt(AttemptOutcome.Answered(head.status), result, connectionReusable = true)
-            }
+        if (head.notRun) {
+            // The head says that the request has not run; the body is read only to keep the connection.
+            val complete = withTimeoutOrNull(REFUSAL_BODY_MILLISECONDS) { readBody(sent.exchange, body) == null }
+            return CompletedAttempt(notRun(head), connectionReusable = complete ?: false)
+        }
+        val failure = readBody(sent.exchange, body)
+        return if (failure != null) {
+            CompletedAttempt(AttemptOutcome.Unknown(failure))
+        } else {
+            val response = FullResponse(head.status, head.forwardedHeaders, body.toByteArray())
+            val result = RelayResult.Response(response, endpoint.name)
+            CompletedAttempt(AttemptOutcome.Answered(head.status), result, connectionReusable = true)
         }
     }
 
