Attribute crashes of endpoints to prompt parts, and share the evidence between routers

Each crash counts against the parts of the requests to which the endpoint had not begun to respond; any later response to a request with a part clears it. Reports of suspected parts travel in status messages; decisions are one state machine without I/O.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
@@ -9,6 +9,7 @@
 /** If each router forwards to 8 random peers, an update misses a router with probability e^-8, 1 in 3,000. */
 private const val UPDATE_FANOUT = 8
 private const val MAX_MISSED_STATUSES = 4
+private const val MAX_REPORT_DELAY_SECONDS = 1L
 private const val UNREGISTERED_PEER_TTL_MINUTES = 5L
 
 /**
@@ -19,6 +20,7 @@
  * @property updateDelay delay before an update is sent, so that several updates share one message
  * @property updateFanout number of peers to which a router forwards an update that it learned from a peer
  * @property maxMissedStatuses number of intervals without a message after which a peer is no longer live
+ * @property maxReportDelay time after which reports of prompt parts are ignored, in addition to the interval
  * @property unregisteredPeerTtl time without a message after which a peer that is not in the store is removed
  */
 data class GossipOptions(
@@ -27,6 +29,7 @@
     val updateDelay: Duration = Duration.ofMillis(UPDATE_DELAY_MILLISECONDS),
     val updateFanout: Int = UPDATE_FANOUT,
     val maxMissedStatuses: Int = MAX_MISSED_STATUSES,
+    val maxReportDelay: Duration = Duration.ofSeconds(MAX_REPORT_DELAY_SECONDS),
     val unregisteredPeerTtl: Duration = Duration.ofMinutes(UNREGISTERED_PEER_TTL_MINUTES),
 ) {
     /** Time between two status messages to the same peer, with [peers] known peers. */
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -1,6 +1,7 @@
 package comfreypath.coordination.fleet
 
 import comfreypath.coordination.Step
+import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.model.InstanceName
 import kotlinx.collections.immutable.toPersistentMap
 import java.time.Instant
@@ -38,6 +39,9 @@
 
     /** Compare the [digest] of a peer with this router's own, for the object kind with this code. */
     data class CompareDigest(val kindCode: String, val digest: KindDigest, val peer: PeerAddress) : GossipAction
+
+    /** Merge the peer's [reports] of prompt parts, which are recent. */
+    data class MergePartReports(val from: InstanceName, val reports: List<PartReport>) : GossipAction
 }
 
 /**
@@ -80,7 +84,10 @@
             return Step(state)
         }
         val next = state.copy(peers = state.peers.put(status.from, peer.copy(receivedAt = now, status = status)))
-        return Step(next, confirmations(state, status) + comparisons(status, peer.address))
+        val actions = confirmations(state, status) + comparisons(status, peer.address)
+        val reports = status.partReports.takeIf { state.isRecent(status, options, now) }.orEmpty()
+        val merge = if (reports.isEmpty()) emptyList() else listOf(GossipAction.MergePartReports(status.from, reports))
+        return Step(next, actions + merge)
     }
 
     private fun Peer.lastStatusPrecedes(candidate: PeerStatus): Boolean {
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -72,6 +72,12 @@
         return peers.values.filter { it.receivedAt != null && now < it.receivedAt + timeout }
     }
 
+    /** True if [status] echoes a recent message, so that it has not waited in a buffer and the ages in it are right. */
+    fun isRecent(status: PeerStatus, options: GossipOptions, now: Instant): Boolean {
+        val echo = status.echo?.takeIf { it.incarnation == incarnation } ?: return false
+        return now <= Instant.ofEpochMilli(echo.milliseconds) + options.interval(peers.size) + options.maxReportDelay
+    }
+
     /** Schedules an update; an update that is already pending keeps its time. */
     fun withPendingUpdate(event: GossipEvent.UpdateLearned, options: GossipOptions, now: Instant): GossipState = copy(
         pendingUpdate = PendingUpdate(
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -1,5 +1,6 @@
 package comfreypath.coordination.fleet
 
+import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.rollout.RolloutReports
@@ -20,6 +21,7 @@
  * @property digests digests of the sender's other objects, by the code of the object kind
  * @property inFlight requests that the sender has in flight
  * @property rollouts the sender's reports on open rollouts; null if there are none
+ * @property partReports prompt parts that may crash endpoints
  */
 @Serializable
 data class PeerStatus(
@@ -34,6 +36,7 @@
     @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
     @SerialName("f") val inFlight: InFlight = InFlight(),
     @SerialName("o") val rollouts: RolloutReports? = null,
+    @SerialName("p") val partReports: List<PartReport> = emptyList(),
 )
 
 /**
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/Prompt.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/Prompt.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.collections.immutable.ImmutableList
 
+/** Limits the work and memory for one request; real prompts have a few parts. */
+private const val MAX_SHARED_PARTS = 64
+
 /**
  * The prompt of a request to a model engine, and the work that it asks for.
  *
@@ -17,7 +20,11 @@
     val maxOutputTokens: Int,
     val parts: ImmutableList<PromptPart>,
     val expectedOutputTokens: Int?,
-)
+) {
+    /** The distinct IDs of the parts that other requests may share, which excludes the last part. */
+    val sharedPartIds: List<Long>
+        get() = parts.dropLast(1).take(MAX_SHARED_PARTS).map { it.prefixId }.distinct()
+}
 
 /**
  * A part of a prompt.
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
@@ -1,6 +1,7 @@
 package comfreypath.coordination.fleet
 
 import comfreypath.coordination.Step
+import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import kotlinx.collections.immutable.persistentListOf
@@ -160,4 +161,14 @@
         /** Two rounds reach at most 8 + 64 routers; duplicates and the last routers take a few more. */
         const val MAX_ROUNDS = 6
     }
+
+    @Test
+    fun `reports of prompt parts are ignored in a message that may have waited in a buffer`() {
+        val reports = listOf(PartReport(7))
+        val status = statusOf(5, StatusStamp(11, start.toEpochMilli())).copy(partReports = reports)
+        val merge = listOf(GossipAction.MergePartReports(other.name, reports))
+        expectThat(received(known, status, start.plusSeconds(1)).actions).isEqualTo(merge)
+        expectThat(received(known, status, start.plusSeconds(4)).actions).isEmpty()
+        expectThat(received(known, status.copy(echo = null), start.plusSeconds(1)).actions).isEmpty()
+    }
 }
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
@@ -1,5 +1,7 @@
 package comfreypath.coordination.fleet
 
+import comfreypath.coordination.evidence.PartReport
+import comfreypath.coordination.evidence.ReportedCrash
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.rollout.RolloutReport
@@ -54,6 +56,13 @@
         expectThat(Json.decodeFromString<PeerStatus>(text)).isEqualTo(status)
     }
 
+    @Test
+    fun `reports of prompt parts are added as this text`() {
+        val reports = listOf(PartReport(36, listOf(ReportedCrash(10, Duration.ofMillis(35)))))
+        expectThat(Json.encodeToString(status.copy(partReports = reports)))
+            .isEqualTo(text.dropLast(1) + ""","p":["10:a.z::"]}""")
+    }
+
     @Test
     fun `fields with their default value are omitted`() {
         val idle = PeerStatus(InstanceName("front-1"), DataCentreName("south-a"), StatusStamp(0, 0))
