Refuse requests with a prompt part that crashes endpoints

Cause: the loss of a request was laid at the endpoint only, and the next request with the part was sent on, by this router or another one.

Now a lost connection is checked 0.1 s later: an endpoint that refuses connections, has responded to nothing since and is not draining has crashed, and the crash counts against the parts of the requests lost at it. Requests with a quarantined part are refused as not run (503, suspected_part) before any attempt, and are not repeated after one that may have run.

RefusalCodeTest and RouterMetricsExpositionTest list the new code and the two new metrics.

--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -6,6 +6,7 @@
 import comfreypath.coordination.invariant.InvariantViolation
 import comfreypath.router.claims.ClaimCoordinator
 import comfreypath.router.claims.IdempotentRelay
+import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.request.ApiKeyFilter
 import comfreypath.router.request.BodyErrorFilter
@@ -87,11 +88,13 @@
     private val gossipOptions = GossipOptions()
     private val peers = PeerGossip(context, view, endpointTracker, { ready }, gossipOptions)
     private val rollouts = VersionRollouts(context, store, view, peers)
+    private val evidence = AttemptEvidence(context, connector, endpointTracker, view.endpoints, peers)
     private val trackers = Trackers(
-        endpointTracker,
-        RetryBudgets(context) { livePeerCount + 1 },
-        ServiceProgress(),
-        rollouts,
+        endpoints = endpointTracker,
+        retries = RetryBudgets(context) { livePeerCount + 1 },
+        progress = ServiceProgress(),
+        rollouts = rollouts,
+        evidence = evidence,
     )
     private val stalenessLimits = StalenessLimits { context.options.bounds }
     private val viewUpdater = ClusterViewUpdater(context, store, view, peers, stalenessLimits, gossipOptions)
@@ -143,6 +146,7 @@
     suspend fun start() {
         val options = context.options
         log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
+        evidence.start()
         viewUpdater.startEssentials()
         callerServer.start(options.callerAddress)
         pages.startReadiness()
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.Step
+import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.fleet.ConfigurationFreshness
 import comfreypath.coordination.fleet.GossipAction
 import comfreypath.coordination.fleet.GossipEvent
@@ -64,6 +65,12 @@
     /** Called for each digest received, with the kind's code, the digest and the peer that sent it. */
     var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
 
+    /** Returns the reports of prompt parts to send with the next status message. */
+    var partReports: () -> List<PartReport> = { emptyList() }
+
+    /** Called with the reports of prompt parts in each recent message of a peer. */
+    var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
+
     /** When the store last responded to this router; null before the first response. */
     var lastStoreResponseAt: Instant? = null
 
@@ -126,6 +133,7 @@
             digests = view.digests(),
             inFlight = tracker.inFlight(),
             rollouts = rolloutReports(),
+            partReports = partReports(),
         )
     }
 
@@ -160,6 +168,7 @@
                 socket.send(Address(action.to.host, action.to.port), bytes)
             }
             is GossipAction.ConfirmConfiguration -> confirm(action)
+            is GossipAction.MergePartReports -> onPartReports(action.from, action.reports)
             is GossipAction.CompareDigest -> onDigest(action.kindCode, action.digest, action.peer)
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.evidence.PartAdmission
 import comfreypath.coordination.overload.Admission
 import comfreypath.coordination.overload.RefusalReason
 import comfreypath.coordination.verdict.AttemptOutcome
@@ -60,11 +61,15 @@
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
         while (result == null) {
-            val selected = if (callerConnected) targets.select(state) else SelectionResult.NoEndpoint
+            val held = dependencies.trackers.evidence.refusal(request, mayHaveRun = state.runs > 0)
+            val selected =
+                if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
             result = when (selected) {
                 is SelectionResult.Selected -> tryEndpoint(selected.selection)
-                is SelectionResult.Overloaded -> finish(retryPolicy.giveUp(state), rejection = selected.admission)
-                SelectionResult.NoEndpoint -> finish(retryPolicy.giveUp(state))
+                is SelectionResult.Overloaded ->
+                    finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
+                SelectionResult.NoEndpoint ->
+                    finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
             }
         }
         return result
@@ -77,6 +82,8 @@
         }
         targets.recordTried(selection.endpoint.name)
         val attempt = measuredAttempt(selection)
+        val begun = stream?.started == true
+        dependencies.trackers.evidence.attemptEnded(request, selection.endpoint, attempt.outcome, begun)
         val ifRetryAllowed = retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = true)
         val leaves = attempt.outcome.leavesSilentEndpoint
         if (leaves) targets.recordLeft(selection.endpoint.name)
@@ -148,7 +155,7 @@
     private fun finish(
         decision: RetryDecision,
         result: RelayResult? = null,
-        rejection: Admission.Refused? = null,
+        rejection: Refusal? = null,
     ): RelayResult = when {
         result is RelayResult.Streamed -> result
         stream?.started == true -> {
@@ -158,7 +165,7 @@
         }
         result != null && decision == RetryDecision.Deliver -> result
         decision == RetryDecision.FailMayHaveRun -> refused(RelayRefusals.mayHaveRun(state))
-        rejection != null -> refused(RelayRefusals.overloaded(rejection))
+        rejection != null -> refused(rejection)
         else -> refused(RelayRefusals.notRun(state, context.now(), request.jitter))
     }
 
@@ -194,7 +201,10 @@
     private fun newStreamRelay(head: EndpointResponseHead) = StreamRelay(
         writer = exchange.writer,
         head = head,
-        onStart = { exchange.firstByteAt = context.now() },
+        onStart = {
+            exchange.firstByteAt = context.now()
+            dependencies.trackers.evidence.answerBegan(request)
+        },
         onEvents = { probe?.recordEvents(it) },
         belongsTo = { dependencies.belongsTo(it, request) },
     )
@@ -243,6 +253,13 @@
         return Refusal(RefusalCode.OVERLOADED, detail, rejection.retryAfter)
     }
 
+    /** The refusal of a request with a part that may crash endpoints; the request has not run and will not. */
+    fun suspectedPart(held: PartAdmission.Refused) = Refusal(
+        RefusalCode.SUSPECTED_PART,
+        "endpoints crashed when they began to respond to requests with a part of the prompt",
+        held.retryAfter,
+    )
+
     /** The refusal of a request that has not run and will not; [jitter], from 0 to 1, varies the retry-after. */
     fun notRun(state: RetryState, now: Instant, jitter: Double): Refusal {
         val retryAfter = RetryAfterPolicy.delay(state.lastOutcome, Duration.between(now, state.deadline), jitter)
--- a/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
@@ -46,6 +46,9 @@
     /** Every endpoint is full, or those that were tried refused the request. */
     OVERLOADED(status = 503, text = "overloaded"),
 
+    /** A part of the request's prompt is suspected of crashing endpoints. */
+    SUSPECTED_PART(status = 503, text = "suspected_part"),
+
     /** The request timed out before any endpoint accepted it. */
     EXPIRED(status = 503, text = "expired"),
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -95,6 +95,9 @@
         }
     }
 
+    /** True if a response has begun after [at]. */
+    fun respondedSince(at: Instant): Boolean = lastResponseAt > at
+
     /** True if no response has begun since the oldest pending request was sent, more than [limit] ago. */
     fun stalled(now: Instant, limit: Duration): Boolean {
         val oldest = pendingSendTimes.firstOrNull() ?: return false
--- a/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.sending
 
+import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.rollout.VersionRollouts
 
 /**
@@ -7,6 +8,7 @@
  *
  * @property endpoints requests in flight at each endpoint, and its observed health
  * @property retries retry budgets by service
+ * @property evidence the evidence on prompt parts that crash endpoints
  * @property progress requests in progress at each service, and their expected duration
  * @property rollouts the versions in use during rollouts, and how they respond
  */
@@ -15,4 +17,5 @@
     val retries: RetryBudgets,
     val progress: ServiceProgress,
     val rollouts: VersionRollouts,
+    val evidence: AttemptEvidence,
 )
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -57,6 +57,12 @@
     /** 1 while the target version of a service's rollout is held as bad, else 0. */
     val rolloutHeld: Gauge = gauge("comfreypath_rollout_held", "Target version is held as bad.", "service")
 
+    /** Crashes of endpoints with requests in flight that have a prompt. */
+    val crashesObserved: Counter = counter("comfreypath_crashes_observed_total", "Crashes of endpoints observed.")
+
+    /** Prompt parts that are quarantined because they crash endpoints. */
+    val quarantinedParts: Gauge = gauge("comfreypath_quarantined_parts", "Prompt parts quarantined.")
+
     /** Requests in progress. */
     val inProgress: Gauge = gauge("comfreypath_in_progress", "Requests in progress.")
 
--- a/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
@@ -19,6 +19,7 @@
             "not_ready" to 503,
             "no_endpoint" to 503,
             "overloaded" to 503,
+            "suspected_part" to 503,
             "expired" to 503,
             "answer_lost" to 502,
             "timed_out" to 504,
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -22,6 +22,9 @@
         # HELP comfreypath_control_bytes_total Control traffic.
         # TYPE comfreypath_control_bytes_total counter
         comfreypath_control_bytes_total{direction="sent"} 3.0
+        # HELP comfreypath_crashes_observed_total Crashes of endpoints observed.
+        # TYPE comfreypath_crashes_observed_total counter
+        comfreypath_crashes_observed_total 8.0
         # HELP comfreypath_in_progress Requests in progress.
         # TYPE comfreypath_in_progress gauge
         comfreypath_in_progress 4.0
@@ -44,6 +47,9 @@
         comfreypath_latency_seconds_bucket{kind="idempotent",le="+Inf"} 1
         comfreypath_latency_seconds_count{kind="idempotent"} 1
         comfreypath_latency_seconds_sum{kind="idempotent"} 0.25
+        # HELP comfreypath_quarantined_parts Prompt parts quarantined.
+        # TYPE comfreypath_quarantined_parts gauge
+        comfreypath_quarantined_parts 9.0
         # HELP comfreypath_refused_total Requests refused.
         # TYPE comfreypath_refused_total counter
         comfreypath_refused_total{code="overloaded"} 5.0
@@ -90,6 +96,8 @@
         metrics.responsesWritten.inc(11)
         metrics.taskFailures.labelValues("sweep").inc(8)
         metrics.inProgress.set(4.0)
+        metrics.crashesObserved.inc(8)
+        metrics.quarantinedParts.set(9.0)
         metrics.configurationVersion.set(18.0)
         metrics.latency.labelValues("idempotent").observe(0.25)
         expectThat(metrics.prometheusText().decodeToString()).isEqualTo(expected)
--- a/transport/src/main/kotlin/comfreypath/transport/ExchangeFailure.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ExchangeFailure.kt
@@ -8,8 +8,8 @@
 sealed interface ExchangeFailure {
     val sent: Boolean
 
-    /** No connection could be opened in time, so nothing was sent. */
-    data class ConnectFailed(val address: Address, val cause: String) : ExchangeFailure {
+    /** No connection could be opened in time, so nothing was sent; [refused] is true if the other side said so. */
+    data class ConnectFailed(val address: Address, val cause: String, val refused: Boolean) : ExchangeFailure {
         override val sent: Boolean = false
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponseDecoder
+import java.net.ConnectException
 import java.time.Duration
 
 private const val MAX_HEADER_BYTES = 65_536
@@ -49,7 +51,9 @@
         return if (connected && connection != null) {
             Ok(connection)
         } else {
-            Err(ExchangeFailure.ConnectFailed(address, connecting.cause()?.message.orEmpty()))
+            val cause = connecting.cause()
+            val refused = cause is ConnectException && cause !is ConnectTimeoutException
+            Err(ExchangeFailure.ConnectFailed(address, cause?.message.orEmpty(), refused))
         }
     }
 }
