Count a write to a connection that its client has closed as the client's close

What operators saw: a request of a client that had left was reported as write_failed, the reason that points at the router.

Cause: a reset by the client may be noticed by a write first ("Broken pipe", an IOException) and only then by the connection's own close. Only the exception for channels that are already closed was taken for the client's close.

A write now counts as failed only for another exception than an IOException; the accounting test of the transport allows nothing but the client's close any more.

--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.io.IOException
-import java.nio.channels.ClosedChannelException
 
 private const val MAX_PIPELINED_REQUESTS = 16
 
@@ -156,9 +155,7 @@
         }
 
         override fun writeFailed(cause: Throwable) {
-            val closedBefore = cause is ClosedChannelException
-            val reason =
-                if (closedBefore) closer.reason ?: UnansweredReason.CLIENT_CLOSED else UnansweredReason.WRITE_FAILED
+            val reason = UnansweredReason.ofFailedWrite(cause, closer.reason)
             exchanges.fail(exchange, reason, cause)
             closer.close(reason)
         }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -1,5 +1,6 @@
 package comfreypath.transport
 
+import java.io.IOException
 import java.time.Duration
 
 /** What an [HttpServer] reports about its requests and connections. */
@@ -37,7 +38,7 @@
     /** The client closed or reset the connection. */
     CLIENT_CLOSED,
 
-    /** A write of the response failed. */
+    /** A write of the response failed although the connection was open. */
     WRITE_FAILED,
 
     /** The client read nothing of the response for too long. */
@@ -54,4 +55,14 @@
 
     /** The server stopped. */
     SERVER_STOPPED,
+    ;
+
+    internal companion object {
+        /**
+         * Why a write failed with [cause]. Writes to a closed connection fail with an [IOException], and may do so
+         * before the close itself is noticed; [ownReason] is null unless this server has closed the connection.
+         */
+        fun ofFailedWrite(cause: Throwable, ownReason: UnansweredReason?): UnansweredReason =
+            if (cause is IOException) ownReason ?: CLIENT_CLOSED else WRITE_FAILED
+    }
 }
--- a/transport/src/test/kotlin/comfreypath/transport/RequestAccountingTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/RequestAccountingTest.kt
@@ -115,8 +115,7 @@
     }
 
     private fun ServerFixture.expectReasons(seed: Long) {
-        val clientLeft = setOf(UnansweredReason.CLIENT_CLOSED, UnansweredReason.WRITE_FAILED)
-        expectThat(unanswered.map { it.reason }.toSet() - clientLeft)
+        expectThat(unanswered.map { it.reason }.toSet() - UnansweredReason.CLIENT_CLOSED)
             .describedAs("seed $seed").isEqualTo(emptySet())
     }
 
