Bound loads by the endpoints in use while versions get uneven shares

With even shares of each router, the bound of 0.8 times the active endpoints' mean + 3 sent most requests away from their prompt's cache without need.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -35,13 +35,15 @@
      *
      * @param serviceMeanLoad the mean load of all endpoints of the service, including those that are not candidates.
      * The candidates may therefore all be at the bound; the least loaded one then gets the request.
+     * @param boundFactor the multiple of that mean at which an endpoint is skipped
      */
     fun byPrompt(
         candidates: List<Candidate>,
         prefixId: Long,
         serviceMeanLoad: Double = candidates.meanLoad(),
+        boundFactor: Double = LOAD_BOUND_FACTOR,
     ): Candidate? {
-        val bound = (LOAD_BOUND_FACTOR * serviceMeanLoad + LOAD_BOUND_SLACK).toInt()
+        val bound = (boundFactor * serviceMeanLoad + LOAD_BOUND_SLACK).toInt()
         return highestRankedBelow(bound, candidates, prefixId) ?: candidates.minByOrNull { it.load }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -14,6 +14,7 @@
 import comfreypath.coordination.placement.Placement
 import comfreypath.coordination.placement.PromptEndpointCache
 import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.meanLoad
 import comfreypath.coordination.placement.mix
 import comfreypath.coordination.placement.unitInterval
 import comfreypath.coordination.routing.Endpoint
@@ -28,6 +29,9 @@
 private const val STALL_LIMIT_MILLISECONDS = 1_500L
 private const val WEIGHT_SALT = 0x776569676874L
 
+/** The endpoints of a version that bears all requests must not exceed their mean by much. */
+private const val EVEN_BOUND_FACTOR = 1.0
+
 /**
  * The endpoint selected for an attempt.
  *
@@ -96,7 +100,7 @@
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
         } else {
-            val selection = place(exchange, registered, placeable(candidates), requestHash)
+            val selection = place(exchange, registered, candidates, requestHash)
             exchange.offered = exchange.offered || selection != null
             selection?.let { SelectionResult.Selected(it) } ?: SelectionResult.NoEndpoint
         }
@@ -134,7 +138,7 @@
             Placement.byLoad(candidates, context.options.dataCentre, requestHash)
                 ?.let { selection(exchange.route, it, null, candidates.size) }
         } else {
-            Placement.byPrompt(candidates, sharedPart.prefixId, loads.mean(registered))?.let { chosen ->
+            placeByPrompt(registered, candidates, sharedPart.prefixId)?.let { chosen ->
                 val source = cacheSource(registered, chosen.endpoint, sharedPart.prefixId)
                 promptEndpoints.record(sharedPart.prefixId, chosen.endpoint.name)
                 selection(exchange.route, chosen, source, candidates.size)
@@ -180,15 +184,19 @@
     fun accepts(selection: Selection): Boolean =
         view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && acceptsRequests(it) }
 
-    /** Those of [candidates] among which to place a request; fewer while versions get uneven shares. */
-    private fun placeable(candidates: List<Candidate>): List<Candidate> {
-        val service = candidates.firstOrNull()?.endpoint?.service
-        return if (service != null && trackers.rollouts.isShiftingTraffic(service)) {
-            Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
+    /** Places a request with a prompt; more evenly while the endpoints of some versions get few requests. */
+    private fun placeByPrompt(registered: List<Endpoint>, candidates: List<Candidate>, prefixId: Long): Candidate? =
+        if (shiftingTraffic(candidates)) {
+            Placement.byPrompt(evenShare(candidates), prefixId, candidates.meanLoad(), EVEN_BOUND_FACTOR)
         } else {
-            candidates
+            Placement.byPrompt(candidates, prefixId, loads.mean(registered))
         }
-    }
+
+    private fun shiftingTraffic(candidates: List<Candidate>): Boolean =
+        candidates.firstOrNull()?.let { trackers.rollouts.isShiftingTraffic(it.endpoint.service) } ?: false
+
+    private fun evenShare(candidates: List<Candidate>): List<Candidate> =
+        Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
 
     private fun acceptsRequests(endpoint: Endpoint): Boolean =
         !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
