Spread requests evenly in a rollout only once its target has endpoints

An order whose target has no server yet stays open for as long as that lasts; the load of the other endpoints is as even as ever then, and their prompt caches need not suffer. Also moves a function that had put EndpointSelector over the linter's limit.

--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -185,18 +185,15 @@
         view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && acceptsRequests(it) }
 
     /** Places a request with a prompt; more evenly while the endpoints of some versions get few requests. */
-    private fun placeByPrompt(registered: List<Endpoint>, candidates: List<Candidate>, prefixId: Long): Candidate? =
-        if (shiftingTraffic(candidates)) {
-            Placement.byPrompt(evenShare(candidates), prefixId, candidates.meanLoad(), EVEN_BOUND_FACTOR)
+    private fun placeByPrompt(registered: List<Endpoint>, candidates: List<Candidate>, prefixId: Long): Candidate? {
+        val service = candidates.firstOrNull()?.endpoint?.service
+        return if (service != null && trackers.rollouts.isShiftingTraffic(service)) {
+            val even = Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
+            Placement.byPrompt(even, prefixId, candidates.meanLoad(), EVEN_BOUND_FACTOR)
         } else {
             Placement.byPrompt(candidates, prefixId, loads.mean(registered))
         }
-
-    private fun shiftingTraffic(candidates: List<Candidate>): Boolean =
-        candidates.firstOrNull()?.let { trackers.rollouts.isShiftingTraffic(it.endpoint.service) } ?: false
-
-    private fun evenShare(candidates: List<Candidate>): List<Candidate> =
-        Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
+    }
 
     private fun acceptsRequests(endpoint: Endpoint): Boolean =
         !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
--- a/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -41,6 +41,10 @@
     var closedAt: Instant = Instant.EPOCH
         private set
 
+    /** True if an endpoint of the target could take requests at the last tick. */
+    var targetUsable: Boolean = false
+        private set
+
     init {
         logOrder()
     }
@@ -50,6 +54,9 @@
         if (closed) {
             return
         }
+        if (event is RolloutEvent.Tick) {
+            targetUsable = event.targetUsable
+        }
         val before = progress
         val next = controller.step(before, event, context.now())
         progress = next.state
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -114,7 +114,7 @@
      */
     fun isShiftingTraffic(service: ServiceName): Boolean {
         val driver = byService[service] ?: return false
-        return driver.progress.open || context.now() < driver.closedAt + SETTLING_TIME
+        return driver.progress.open && driver.targetUsable || context.now() < driver.closedAt + SETTLING_TIME
     }
 
     /** Records that a request on [route] is sent to [endpoint]. */
