--- a/coordination/src/main/kotlin/comfreypath/coordination/evidence/PartEvidenceOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/evidence/PartEvidenceOptions.kt
@@ -7,7 +7,7 @@
 private const val CRASHES_TO_QUARANTINE = 5
 private const val SETTLING_MILLISECONDS = 400L
 private const val SAME_MOMENT_MILLISECONDS = 100L
-private const val SAME_CRASH_SECONDS = 4L
+private const val SAME_CRASH_SECONDS = 2L
 private const val CRASH_TTL_MINUTES = 10L
 private const val CLEARANCE_SECONDS = 10L
 private const val FIRST_TRIAL_SECONDS = 2L
@@ -19,6 +19,7 @@
 private const val MAX_PARTS = 256
 private const val MAX_CRASHES = 8
 private const val MAX_REPORTS = 20
+private const val MAX_REPORT_BYTES = 1_000
 private const val MAX_REPORTED_CRASHES = 5
 private const val ANSWERS_GENERATION = 4_096
 
@@ -42,6 +43,7 @@
  * @property maxParts maximum number of parts to keep
  * @property maxCrashes maximum number of crashes to keep for each part
  * @property maxReports maximum number of reports in a status message
+ * @property maxReportBytes maximum size of the reports in a status message, which should fit one packet
  * @property maxReportedCrashes maximum number of crashes in a report
  * @property answersGeneration maximum number of parts in each generation of [RecentAnswers]
  */
@@ -63,6 +65,7 @@
     val maxParts: Int = MAX_PARTS,
     val maxCrashes: Int = MAX_CRASHES,
     val maxReports: Int = MAX_REPORTS,
+    val maxReportBytes: Int = MAX_REPORT_BYTES,
     val maxReportedCrashes: Int = MAX_REPORTED_CRASHES,
     val answersGeneration: Int = ANSWERS_GENERATION,
 ) {
--- a/coordination/src/main/kotlin/comfreypath/coordination/evidence/PartReports.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/evidence/PartReports.kt
@@ -1,5 +1,6 @@
 package comfreypath.coordination.evidence
 
+import kotlinx.serialization.json.Json
 import java.time.Duration
 import java.time.Instant
 
@@ -8,12 +9,18 @@
     private enum class Rank { QUARANTINED, SEVERAL_CRASHES, OTHER }
 
     /** At most [PartEvidenceOptions.maxReports] reports, the most suspected parts first, then the latest changes. */
-    fun select(state: PartEvidenceState, options: PartEvidenceOptions, now: Instant): List<PartReport> =
-        state.parts.entries
+    fun select(state: PartEvidenceState, options: PartEvidenceOptions, now: Instant): List<PartReport> {
+        val reports = state.parts.entries
             .mapNotNull { (part, suspicion) -> rank(suspicion, options, now)?.let { Triple(it, part, suspicion) } }
             .sortedWith(compareBy({ it.first }, { Duration.between(it.third.changedAt, now) }))
             .take(options.maxReports)
             .map { (_, part, suspicion) -> report(part, suspicion, state.answers.latest(part), options, now) }
+        var bytes = 0
+        return reports.takeWhile { report ->
+            bytes += Json.encodeToString(report).length
+            bytes <= options.maxReportBytes
+        }
+    }
 
     /** Null if the part is not reported. */
     private fun rank(suspicion: PartSuspicion, options: PartEvidenceOptions, now: Instant): Rank? = when {
--- a/coordination/src/test/kotlin/comfreypath/coordination/evidence/PartEvidenceTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/evidence/PartEvidenceTest.kt
@@ -1,6 +1,7 @@
 package comfreypath.coordination.evidence
 
 import comfreypath.coordination.model.InstanceName
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -166,6 +167,7 @@
             .isLessThanOrEqualTo(2 * options.answersGeneration)
         val reports = evidence.reports(state, after(60.0))
         expectThat(reports.size).isLessThanOrEqualTo(options.maxReports)
+        expectThat(reports.sumOf { Json.encodeToString(it).length }).isLessThanOrEqualTo(options.maxReportBytes)
         expectThat(reports).any { get { part }.isEqualTo(7) }
         expectThat(state.parts.keys).contains(7)
     }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -6,14 +6,20 @@
 import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.dispatcher
 import comfreypath.transport.respond
 import comfreypath.transport.start
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 private const val TOKENS_PER_EVENT = 7
+private const val RESTART_MILLISECONDS = 2_200L
 private const val MAX_BODY_BYTES = 8_388_608
 
 /**
@@ -27,6 +33,8 @@
  * @property unsigned omits the signature of responses
  * @property workMilliseconds the time that a plain server takes for a request; null for its default
  * @property eventMilliseconds the time that an engine takes for an event; null for its default
+ * @property crashingPart crashes the server when it begins to respond to a request whose prompt has the part with this
+ * ID, unless it is the last one: it loses all its connections and refuses new ones for a time; null for never
  * @property truncateEvent makes [abortAfterEvents] abort streams in the middle of the next event
  * @property endAborted makes [abortAfterEvents] end streams with their last chunk instead of closing the connection
  * @property failResumed responds with status 500 to requests that resume a stream
@@ -47,6 +55,7 @@
     val pauseAfterEvents: Int? = null,
     val pauseMilliseconds: Long = 0,
     val eventMilliseconds: Long? = null,
+    val crashingPart: String? = null,
 )
 
 /** A request that a platform server stand-in received, and whether it ran. */
@@ -59,12 +68,14 @@
  * @property name the name under which the server is registered in the store
  */
 class PlatformServerStandIn(
-    loop: EventLoop,
+    private val loop: EventLoop,
     val name: String,
     private val eventMilliseconds: Long = 2,
     private val workMilliseconds: Long = 2,
 ) {
-    private val server = HttpServer(loop, HttpServerOptions(maxBodyBytes = MAX_BODY_BYTES), ::handle)
+    private val restarts = CoroutineScope(loop.dispatcher() + SupervisorJob())
+    private var server = newServer()
+    private lateinit var boundAddress: Address
     private val requests = mutableListOf<ReceivedRequest>()
     private var faults = PlatformServerFaults()
     private var inFlight = 0
@@ -73,10 +84,28 @@
     val receivedRequests: List<ReceivedRequest> get() = requests.toList()
 
     /** Listens on [address] and returns the bound address. */
-    suspend fun start(address: Address): Address = server.start(address)
+    suspend fun start(address: Address): Address = server.start(address).also { boundAddress = it }
 
     /** Stops and aborts the requests in progress. */
-    suspend fun stop() = server.stop()
+    suspend fun stop() {
+        restarts.cancel()
+        server.stop()
+    }
+
+    private fun newServer() = HttpServer(loop, HttpServerOptions(maxBodyBytes = MAX_BODY_BYTES), ::handle)
+
+    /** Loses all connections like a crashed process, and listens on the same address again after a time. */
+    private fun crash() {
+        restarts.launch {
+            server.stop()
+            delay(RESTART_MILLISECONDS)
+            server = newServer().apply { start(boundAddress) }
+        }
+    }
+
+    private fun hasCrashingPart(request: IncomingRequest): Boolean =
+        request.headers.get(PlatformHeaders.PROMPT_PARTS).orEmpty().split(',').dropLast(1)
+            .any { it.substringBefore(':') == faults.crashingPart }
 
     /** Replaces the faults. */
     fun setFaults(newFaults: PlatformServerFaults) {
@@ -142,6 +171,10 @@
         headers: Map<String, String>,
         writer: ResponseWriter,
     ) {
+        if (hasCrashingPart(request)) {
+            crash()
+            awaitCancellation()
+        }
         val first = (request.headers.get(PlatformHeaders.LAST_EVENT_ID)?.toIntOrNull() ?: 0) + 1
         val last = eventCount(request)
         writer.start(HttpResponseStatus.OK, headers + ("Content-Type" to "text/event-stream"))
