--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -103,10 +103,6 @@
         }
     }
 
-    private fun hasCrashingPart(request: IncomingRequest): Boolean =
-        request.headers.get(PlatformHeaders.PROMPT_PARTS).orEmpty().split(',').dropLast(1)
-            .any { it.substringBefore(':') == faults.crashingPart }
-
     /** Replaces the faults. */
     fun setFaults(newFaults: PlatformServerFaults) {
         faults = newFaults
@@ -145,7 +141,7 @@
                 "Keep-Alive" to "timeout=5",
             ) + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
             when {
-                faults.failing || faults.failResumed && resumes(request) -> writer.respond(
+                faults.failing || faults.failResumed && request.resumesStream -> writer.respond(
                     HttpResponseStatus.INTERNAL_SERVER_ERROR,
                     headers,
                     "failed".encodeToByteArray()
@@ -158,8 +154,6 @@
         }
     }
 
-    private fun resumes(request: IncomingRequest) = request.headers.contains(PlatformHeaders.LAST_EVENT_ID)
-
     private suspend fun respond(id: String, headers: Map<String, String>, writer: ResponseWriter) {
         delay(faults.workMilliseconds ?: workMilliseconds)
         if (faults.abortResponses) writer.abort() else writer.respond(HttpResponseStatus.OK, headers, responseBody(id))
@@ -171,7 +165,7 @@
         headers: Map<String, String>,
         writer: ResponseWriter,
     ) {
-        if (hasCrashingPart(request)) {
+        if (faults.crashingPart in request.sharedPromptParts) {
             crash()
             awaitCancellation()
         }
@@ -186,7 +180,7 @@
                 if (faults.endAborted) writer.end() else writer.abort()
                 return
             }
-            if (number - first == faults.pauseAfterEvents && !resumes(request)) delay(faults.pauseMilliseconds)
+            if (number - first == faults.pauseAfterEvents && !request.resumesStream) delay(faults.pauseMilliseconds)
             writer.writeChunk(event(id, number))
         }
         writer.end()
@@ -211,3 +205,9 @@
             ((tokens.substringAfter(',').toIntOrNull() ?: 1) + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT
     }
 }
+
+private val IncomingRequest.resumesStream: Boolean get() = headers.contains(PlatformHeaders.LAST_EVENT_ID)
+
+/** The IDs of all parts of the prompt but the last. */
+private val IncomingRequest.sharedPromptParts: List<String>
+    get() = headers.get(PlatformHeaders.PROMPT_PARTS).orEmpty().split(',').dropLast(1).map { it.substringBefore(':') }
