Charge an endpoint for a request only when an attempt begins

What callers could see: while a request waited at a silent endpoint, another endpoint was selected for it every 100 ms, and each selection counted as a request: it took a token of a cold endpoint's rate, counted towards a rollout's share, and named an endpoint as the one that has the prompt cached, though nothing was sent. Cold endpoints starved, canaries exceeded their share.

A selection has no effect any more; what it stands for is recorded when its attempt begins.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -81,6 +81,7 @@
             dependencies.trackers.retries.recordRequest(selection.endpoint.service)
         }
         targets.recordTried(selection.endpoint.name)
+        dependencies.selector.recordAttempt(exchange, selection)
         val attempt = measuredAttempt(selection)
         val begun = stream?.started == true
         dependencies.trackers.evidence.attemptEnded(request, selection.endpoint, attempt.outcome, begun)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -77,7 +77,7 @@
     fun inFlight(nameHash: Long): Int
 }
 
-/** Selects the endpoint for each attempt of a request. */
+/** Selects the endpoint for each attempt of a request. A selection has no effect until its attempt begins. */
 class EndpointSelector(
     private val context: RouterContext,
     private val view: ClusterView,
@@ -100,9 +100,8 @@
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
         } else {
-            val selection = place(exchange, registered, candidates, requestHash)
-            exchange.offered = exchange.offered || selection != null
-            selection?.let { SelectionResult.Selected(it) } ?: SelectionResult.NoEndpoint
+            place(exchange, registered, candidates, requestHash)?.let { SelectionResult.Selected(it) }
+                ?: SelectionResult.NoEndpoint
         }
     }
 
@@ -133,36 +132,25 @@
         candidates: List<Candidate>,
         requestHash: Long,
     ): Selection? {
-        val sharedPart = exchange.request.prompt?.parts?.dropLast(1)?.lastOrNull()
-        return if (sharedPart == null) {
+        val prefixId = exchange.request.sharedPrefixId
+        val basis = view.basis(candidates.size, context.now())
+        return if (prefixId == null) {
             Placement.byLoad(candidates, context.options.dataCentre, requestHash)
-                ?.let { selection(exchange.route, it, null, candidates.size) }
+                ?.let { Selection(it.endpoint, it.load, null, basis) }
         } else {
-            placeByPrompt(registered, candidates, sharedPart.prefixId)?.let { chosen ->
-                val source = cacheSource(registered, chosen.endpoint, sharedPart.prefixId)
-                promptEndpoints.record(sharedPart.prefixId, chosen.endpoint.name)
-                selection(exchange.route, chosen, source, candidates.size)
-            }
+            placeByPrompt(registered, candidates, prefixId)
+                ?.let { Selection(it.endpoint, it.load, cacheSource(registered, it.endpoint, prefixId), basis) }
         }
     }
 
-    private fun selection(
-        route: Route,
-        candidate: Candidate,
-        cacheSource: Endpoint?,
-        candidates: Int,
-    ): Selection {
-        val entry = trackers.endpoints.entry(candidate.endpoint.name)
-        val now = context.now()
-        entry.coldBucket = entry.coldBucket?.acquire(now)
-        trackers.rollouts.recordSent(candidate.endpoint, route)
-        val basis = SelectionBasis(
-            candidates = candidates,
-            endpointsAge = view.endpoints.entries.confirmedAt?.let { Duration.between(it, now) },
-            configuration = view.configuration.current?.value?.version,
-            configurationAge = view.configuration.age(),
-        )
-        return Selection(candidate.endpoint, candidate.load, cacheSource, basis)
+    /** Records that an attempt of [exchange] at the endpoint in [selection] begins. */
+    fun recordAttempt(exchange: CallerExchange, selection: Selection) {
+        val name = selection.endpoint.name
+        val entry = trackers.endpoints.entry(name)
+        entry.coldBucket = entry.coldBucket?.acquire(context.now())
+        exchange.request.sharedPrefixId?.let { promptEndpoints.record(it, name) }
+        trackers.rollouts.recordSent(selection.endpoint, exchange.route)
+        exchange.offered = true
     }
 
     private fun candidates(
@@ -236,3 +224,13 @@
         point < 0
     }?.service ?: destinations.lastOrNull()?.service
 }
+
+/** The ID of the longest prefix of the prompt that other requests may share; null if there is none. */
+private val CallerRequest.sharedPrefixId: Long? get() = prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId
+
+private fun ClusterView.basis(candidates: Int, now: Instant) = SelectionBasis(
+    candidates = candidates,
+    endpointsAge = endpoints.entries.confirmedAt?.let { Duration.between(it, now) },
+    configuration = configuration.current?.value?.version,
+    configurationAge = configuration.age(),
+)
