Keep healthy attempts and begun streams of requests with a suspected part

What callers could see: a request with a part that was in flight at two crashes was taken from a sound endpoint that had been silent for a second, and then not sent to the one that had been reserved: 502, or a broken stream. A stream that had begun was not resumed after its endpoint crashed, although its own events prove its parts sound.

A request that must not be repeated now stays where it is, and a stream that has begun is not held.

--- a/router/src/main/kotlin/comfreypath/router/evidence/AttemptEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/evidence/AttemptEvidence.kt
@@ -47,6 +47,9 @@
         return refusal
     }
 
+    /** True if [request], which may have run, must not be sent again. */
+    fun mustNotRepeat(request: CallerRequest): Boolean = guard.refusal(request.sharedParts(), repeat = true) != null
+
     /** The first event of the response to [request] has arrived. */
     fun answerBegan(request: CallerRequest) {
         val parts = request.sharedParts()
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -61,7 +61,9 @@
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
         while (result == null) {
-            val held = dependencies.trackers.evidence.refusal(request, mayHaveRun = state.runs > 0)
+            // The parts of a stream that has begun are sound.
+            val held = dependencies.trackers.evidence.takeIf { stream?.started != true }
+                ?.refusal(request, mayHaveRun = state.runs > 0)
             val selected =
                 if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
             result = when (selected) {
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -50,6 +50,9 @@
     /** Reserves an endpoint and a retry for a request that is to leave [current]. */
     fun reserve(current: Selection): Alternative {
         val service = current.endpoint.service
+        if (exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)) {
+            return Alternative.NO_ENDPOINT
+        }
         val selected = if (trackers.retries.available(service)) dependencies.selector.select(exchange, tried) else null
         val other = (selected as? SelectionResult.Selected)?.selection?.takeIf { responsive(it) }
         return when {
