Keep the decision on a rollout while its order is unreadable

What callers could see: an odd value in a rollout's object closed the rollout; the version that was held as bad got traffic again, and the evidence started anew once the object could be read. Also, a failed tick ended the loop that advances rollouts.

An order is closed only when its object is gone, and the loop is one of the repeated ones, which log a failure and go on.

--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -18,13 +18,13 @@
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.Route
 import comfreypath.router.RouterContext
+import comfreypath.router.launchLoop
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.request.CallerExchange
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.view.ClusterView
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import java.time.Duration
 
 private const val TICK_MILLISECONDS = 100L
@@ -52,17 +52,16 @@
         peers.rolloutReports = ::reports
         peers.onRolloutReports = ::receive
         follow()
-        context.scope.launch {
-            while (true) {
-                delay(TICK_MILLISECONDS)
-                drivers.values.forEach(::tick)
-            }
+        context.launchLoop("advance rollouts") {
+            delay(TICK_MILLISECONDS)
+            drivers.values.forEach(::tick)
         }
     }
 
     private fun follow() {
         val orders = view.rollouts.values
-        drivers.keys.filter { it !in orders }.forEach { drivers.remove(it)?.close() }
+        // An order that has become unreadable stays in force.
+        drivers.keys.filter { view.rollouts.revisionOf(it) == null }.forEach { drivers.remove(it)?.close() }
         orders.forEach { (name, order) ->
             val revision = view.rollouts.revisionOf(name) ?: 0
             val driver = drivers[name]
