Do not take a lost connection for a sign of life

The loss of a connection after a silence counted as a response: it logged endpoint_went_on, cleared the endpoint's health and made requests that left it later count as slow. Found by review of the code; traced, no test forces it yet.

--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -24,7 +24,7 @@
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart {
         activity.recordAwaiting()
-        return connection.next().also { activity.recordHeard() }
+        return connection.next().also { if (it !is ResponsePart.Aborted) activity.recordHeard() }
     }
 
     /** Returns the connection to the pool after a complete response. The endpoint closes it after [idleTimeout]. */
