Wait for the final answers of a stop until they are sent

What callers could see: the 502 or 503 that a stop sends to requests that outlast the grace period could be lost: the wait for its delivery ended after one round instead of 150 ms, since the second round found nothing left to refuse. Found by review of the code; traced, no test forces it yet.

--- a/router/src/main/kotlin/comfreypath/router/CallerDrain.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerDrain.kt
@@ -31,12 +31,11 @@
     /** Sends a final answer to requests that did not end in time. */
     suspend fun refuseRemaining() {
         val deadline = context.now() + FINAL_ANSWERS
-        var remaining = requests.inProgress
-        while (remaining > 0 && context.now() < deadline) {
-            val refused = requests.refuseRemaining()
+        val answering = requests.refuseRemaining() > 0
+        while (answering && server.connectionCount > 0 && context.now() < deadline) {
             delay(POLL_INTERVAL_MILLISECONDS)
             server.closeIdle()
-            remaining = if (refused > 0) server.connectionCount else 0
+            requests.refuseRemaining()
         }
     }
 
