Start routers with fewer classes, share one timer, and keep a fleet's start from flooding the store

Call sites linked at run time, Netty's search for logging libraries, annotations read by reflection, a random generator's registry and classes missing from the archive made up a part of it; seven loops polled 120 times a second. Each router watched all kinds itself until it had heard from peers, and again between two status messages in fleets of more than 60, where messages are further apart (2.4 s at 95) than the 1.5 s after which a peer counted as silent.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
@@ -8,6 +8,7 @@
 
 /** If each router forwards to 8 random peers, an update misses a router with probability e^-8, 1 in 3,000. */
 private const val UPDATE_FANOUT = 8
+private const val UPDATE_COPIES = 2
 private const val MAX_MISSED_STATUSES = 4
 private const val MAX_REPORT_DELAY_SECONDS = 1L
 private const val UNREGISTERED_PEER_TTL_MINUTES = 5L
@@ -19,6 +20,7 @@
  * @property intervalPerPeer interval per known peer; it keeps a router's traffic constant as the fleet grows
  * @property updateDelay delay before an update is sent, so that several updates share one message
  * @property updateFanout number of peers to which a router forwards an update that it learned from a peer
+ * @property updateCopies number of peers that may send an update to a router before it stops forwarding the update
  * @property maxMissedStatuses number of intervals without a message after which a peer is no longer live
  * @property maxReportDelay time after which reports of prompt parts are ignored, in addition to the interval
  * @property unregisteredPeerTtl time without a message after which a peer that is not in the store is removed
@@ -28,6 +30,7 @@
     val intervalPerPeer: Duration = Duration.ofMillis(INTERVAL_PER_PEER_MILLISECONDS),
     val updateDelay: Duration = Duration.ofMillis(UPDATE_DELAY_MILLISECONDS),
     val updateFanout: Int = UPDATE_FANOUT,
+    val updateCopies: Int = UPDATE_COPIES,
     val maxMissedStatuses: Int = MAX_MISSED_STATUSES,
     val maxReportDelay: Duration = Duration.ofSeconds(MAX_REPORT_DELAY_SECONDS),
     val unregisteredPeerTtl: Duration = Duration.ofMinutes(UNREGISTERED_PEER_TTL_MINUTES),
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -11,8 +11,16 @@
     /** The store lists [routers], which may include this router. */
     data class Registered(val routers: List<PeerAddress>) : GossipEvent
 
-    /** A status message arrived from [sender]. */
-    data class StatusReceived(val status: PeerStatus, val sender: PeerAddress) : GossipEvent
+    /**
+     * A status message arrived from [sender].
+     *
+     * @property knowsSame true if the sender has the same objects as this router
+     */
+    data class StatusReceived(
+        val status: PeerStatus,
+        val sender: PeerAddress,
+        val knowsSame: Boolean = false,
+    ) : GossipEvent
 
     /** Time has passed; [ownStatus] is this router's current status, without an echo. */
     data class Tick(val ownStatus: PeerStatus) : GossipEvent
@@ -27,8 +35,8 @@
 
 /** Output of [GossipProtocol], to be performed by the router. */
 sealed interface GossipAction {
-    /** Send [status] to a peer. */
-    data class Send(val to: PeerAddress, val status: PeerStatus) : GossipAction
+    /** Send [status] to a peer, with [echo] as its echo. */
+    data class Send(val to: PeerAddress, val status: PeerStatus, val echo: StatusStamp? = null) : GossipAction
 
     /** The peer confirms that [version] of the configuration was still the newest at [confirmedAt]. */
     data class ConfirmConfiguration(
@@ -53,13 +61,14 @@
  *
  * A change in the store reaches all routers at nearly the same time. If each router told all others, one change would
  * cost n^2 messages. So only the routers that watch the store tell all peers. The others tell a random few, which
- * covers the routers that a watching router can't reach.
+ * covers the routers that a watching router can't reach. A router that hears an update from several peers before it
+ * has told anyone tells no one, since the update is spreading without it.
  */
 class GossipProtocol(private val options: GossipOptions = GossipOptions()) {
     /** Returns the state after [event] and the actions to perform. */
     fun step(state: GossipState, event: GossipEvent, now: Instant): Step<GossipState, GossipAction> = when (event) {
         is GossipEvent.Registered -> Step(withRegistered(state, event.routers))
-        is GossipEvent.StatusReceived -> statusReceived(state, event.status, event.sender, now)
+        is GossipEvent.StatusReceived -> statusReceived(state, event, now)
         is GossipEvent.Tick -> tick(state, event.ownStatus, now)
         is GossipEvent.UpdateLearned -> Step(state.withPendingUpdate(event, options, now))
     }
@@ -75,15 +84,18 @@
 
     private fun statusReceived(
         state: GossipState,
-        status: PeerStatus,
-        sender: PeerAddress,
+        event: GossipEvent.StatusReceived,
         now: Instant,
     ): Step<GossipState, GossipAction> {
-        val peer = state.peers[status.from] ?: Peer(sender)
+        val status = event.status
+        val peer = state.peers[status.from] ?: Peer(event.sender)
         if (status.from == state.self || !peer.lastStatusPrecedes(status)) {
             return Step(state)
         }
-        val next = state.copy(peers = state.peers.put(status.from, peer.copy(receivedAt = now, status = status)))
+        val next = state.copy(
+            peers = state.peers.put(status.from, peer.copy(receivedAt = now, status = status)),
+            pendingUpdate = if (event.knowsSame) state.updateHeardAgain(options) else state.pendingUpdate,
+        )
         val actions = confirmations(state, status) + comparisons(status, peer.address)
         val reports = status.partReports.takeIf { state.isRecent(status, options, now) }.orEmpty()
         val merge = if (reports.isEmpty()) emptyList() else listOf(GossipAction.MergePartReports(status.from, reports))
@@ -132,7 +144,7 @@
     }
 
     private fun statuses(peers: Collection<Peer>, own: PeerStatus): List<GossipAction> =
-        peers.map { peer -> GossipAction.Send(peer.address, own.copy(echo = peer.status?.stamp)) }
+        peers.map { peer -> GossipAction.Send(peer.address, own, peer.status?.stamp) }
 
     /** A peer that the store doesn't list is removed after a time without messages. */
     private fun expired(peer: Peer, now: Instant): Boolean {
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -41,8 +41,9 @@
  *
  * @property at time at which it is sent
  * @property toAll true to send it to every peer, false to send it to a random few
+ * @property heard number of peers from which this router has heard it since
  */
-data class PendingUpdate(val at: Instant, val toAll: Boolean)
+data class PendingUpdate(val at: Instant, val toAll: Boolean, val heard: Int = 0)
 
 /**
  * State of the gossip protocol at one router.
@@ -86,6 +87,11 @@
         ),
     )
 
+    /** The pending update after one more peer has sent it; null if enough of them have, and this router need not. */
+    fun updateHeardAgain(options: GossipOptions): PendingUpdate? = pendingUpdate
+        ?.let { it.copy(heard = it.heard + 1) }
+        ?.takeIf { it.toAll || it.heard < options.updateCopies }
+
     /** Chooses [count] peers pseudo-randomly, seeded by this router's name and [now]. */
     fun samplePeers(count: Int, now: Instant): List<Peer> {
         val seed = mix(hashOf(self.text), now.toEpochMilli())
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -8,6 +8,7 @@
 import java.time.Instant
 
 private const val MAX_SILENCE_MILLISECONDS = 1_500L
+private const val MAX_SILENT_INTERVALS = 2L
 private const val MAX_STORE_RESPONSE_AGE_MILLISECONDS = 5_000L
 
 /**
@@ -19,7 +20,8 @@
  * without an eligible peer of higher rank in its data centre watches the store itself. Correctness doesn't depend on
  * the selection: two watchers, or none for a moment, do no harm.
  *
- * @property maxSilence time without a status message after which a peer is not eligible
+ * @property maxSilence time without a status message after which a peer is not eligible, if peers send them often; in
+ * large fleets, where they don't, two intervals
  * @property maxStoreResponseAge time without a response from the store after which a peer is not eligible
  */
 class StoreWatcherSelector(
@@ -32,22 +34,34 @@
         self: InstanceName,
         dataCentre: DataCentreName,
         peers: Collection<Peer>,
+        statusInterval: Duration,
         now: Instant,
     ): Boolean {
         val local = peers.filter { it.address.dataCentre == dataCentre }
-        return precedingCount(kind, self, local, now) == 0
+        return precedingCount(kind, self, local, statusInterval, now) == 0
     }
 
-    /** Returns the number of eligible [peers] of higher rank than [self] for the duty called [key]. */
-    fun precedingCount(key: String, self: InstanceName, peers: Collection<Peer>, now: Instant): Int {
+    /**
+     * Returns the number of eligible [peers] of higher rank than [self] for the duty called [key].
+     *
+     * @param statusInterval time between two status messages of a peer
+     */
+    fun precedingCount(
+        key: String,
+        self: InstanceName,
+        peers: Collection<Peer>,
+        statusInterval: Duration,
+        now: Instant,
+    ): Int {
+        val silence = maxOf(maxSilence, statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
         val ownRank = rank(key, self)
-        return peers.count { isEligible(it, now) && rank(key, it.address.name) > ownRank }
+        return peers.count { isEligible(it, silence, now) && rank(key, it.address.name) > ownRank }
     }
 
     private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
 
-    private fun isEligible(peer: Peer, now: Instant): Boolean {
-        val live = peer.receivedAt?.let { Duration.between(it, now) <= maxSilence } ?: false
+    private fun isEligible(peer: Peer, silence: Duration, now: Instant): Boolean {
+        val live = peer.receivedAt?.let { Duration.between(it, now) <= silence } ?: false
         val storeLive = peer.status?.storeResponseAgeMilliseconds?.let { it <= maxStoreResponseAge.toMillis() } ?: false
         return live && storeLive && peer.status?.draining == false
     }
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
@@ -83,7 +83,7 @@
             .isEqualTo("10.0.0.2:7")
         val answered = received(contacted.state, statusOf(1), start).state
         val next = protocol.step(answered, GossipEvent.Tick(own), start.plusSeconds(2))
-        expectThat(next.actions.filterIsInstance<GossipAction.Send>()).single().get { status.echo }
+        expectThat(next.actions.filterIsInstance<GossipAction.Send>()).single().get { echo }
             .isEqualTo(StatusStamp(22, 1))
     }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreWatcherSelectorTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreWatcherSelectorTest.kt
@@ -11,6 +11,7 @@
 class StoreWatcherSelectorTest {
     private val selector = StoreWatcherSelector()
     private val now = Instant.ofEpochSecond(1_000)
+    private val interval = GossipOptions().minInterval
     private val dataCentres = listOf("south", "north", "east").map { DataCentreName(it) }
 
     private class Router(val name: InstanceName, val dataCentre: DataCentreName)
@@ -30,7 +31,7 @@
     )
 
     private fun watchers(all: List<Router>, asPeer: (Router) -> Peer = { peer(it) }) = all.filter { self ->
-        selector.shouldWatch("e", self.name, self.dataCentre, all.filter { it !== self }.map(asPeer), now)
+        selector.shouldWatch("e", self.name, self.dataCentre, all.filter { it !== self }.map(asPeer), interval, now)
     }
 
     @Test
@@ -42,6 +43,18 @@
         }
     }
 
+    @Test
+    fun `peers that send status messages rarely, as in a large fleet, do not seem silent between two of them`() {
+        val options = GossipOptions()
+        val all = routers(LARGE)
+        val due = now.minus(options.interval(LARGE))
+        val watching = all.filter { self ->
+            val peers = all.filter { it !== self }.map { peer(it, receivedAt = due) }
+            selector.shouldWatch("e", self.name, self.dataCentre, peers, options.interval(LARGE), now)
+        }
+        expectThat(watching.size).isEqualTo(dataCentres.size)
+    }
+
     @Test
     fun `a single router watches the store itself`() {
         expectThat(watchers(routers(1)).size).isEqualTo(1)
@@ -79,9 +92,14 @@
         val kinds = listOf("c", "e", "o", "v", "r")
         val watching = kinds.map { kind ->
             all.filter { self ->
-                selector.shouldWatch(kind, self.name, self.dataCentre, all.filter { it !== self }.map { peer(it) }, now)
+                val peers = all.filter { it !== self }.map { peer(it) }
+                selector.shouldWatch(kind, self.name, self.dataCentre, peers, interval, now)
             }.map { it.name }.toSet()
         }
         expectThat(watching.toSet().size > 1).isTrue()
     }
+
+    private companion object {
+        const val LARGE = 95
+    }
 }
--- a/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/Main.kt
@@ -5,6 +5,8 @@
 import comfreypath.daemon.command.RouterCommand
 import comfreypath.daemon.command.StandInCommand
 import comfreypath.daemon.command.WarmUpCommand
+import io.netty.util.internal.logging.InternalLoggerFactory
+import io.netty.util.internal.logging.JdkLoggerFactory
 import kotlin.system.exitProcess
 
 /** Exit status for invalid arguments. */
@@ -24,6 +26,8 @@
 
 /** Runs the command that the first argument names, and exits with its status. */
 fun main(arguments: Array<String>) {
+    // Netty would otherwise search the class path for logging libraries that are not there.
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE)
     val rest = arguments.drop(1)
     val status = when (arguments.firstOrNull()) {
         "demo" -> DemoCommand().run(rest)
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -46,7 +46,8 @@
                     if ("--check" in arguments) {
                         printEffective(raw)
                     } else {
-                        serve(options, RouterSettings.callerInterface(raw)) {
+                        val file = environment[RawSettings.FILE_VARIABLE]?.let { File(it) }
+                        serve(options, RouterSettings.callerInterface(raw), file) {
                             RawSettings.read(RouterSettings.all, arguments, environment)
                                 .andThen { RouterSettings.options(it) }
                         }
@@ -73,11 +74,11 @@
     private fun serve(
         options: RouterOptions,
         callerInterface: CallerInterface,
+        file: File?,
         readOptions: () -> Result<RouterOptions, String>,
     ): Int {
         val loop = eventLoops("router", 1).next()
         val router = Router(options, loop, formats(options, callerInterface), ::PlatformStore)
-        val file = System.getenv(RawSettings.FILE_VARIABLE)?.let { File(it) }
         val reloader = SettingsReloader(file, readOptions, ReloadHandler(router::reload, router::rejectReload))
         val stopLatch = CountDownLatch(1)
         val shutdownHook = Thread {
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/WarmUpCommand.kt
@@ -3,16 +3,24 @@
 import com.github.michaelbull.result.fold
 import comfreypath.daemon.demo.PlatformCaller
 import comfreypath.daemon.demo.PlatformFleet
+import comfreypath.daemon.demo.PlatformLayout
 import comfreypath.daemon.demo.PlatformRequest
+import comfreypath.daemon.demo.freeAddress
 import comfreypath.daemon.settings.RawSettings
 import comfreypath.daemon.settings.RouterSettings
 import comfreypath.standins.PlatformServerFaults
 import comfreypath.transport.dispatcher
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import java.io.File
+import kotlin.concurrent.thread
 
 private const val ROUNDS = 20
 private const val ABORT_AFTER_EVENTS = 3
+private const val START_TIMEOUT_MILLISECONDS = 10_000L
+private const val START_POLL_MILLISECONDS = 100L
 
 /**
  * Sends requests of every kind through a small fleet in this process.
@@ -39,10 +47,38 @@
             fleet.routers.forEach { router -> sendAllKinds(caller, router, round) }
         }
         fleet.stopRouter(fleet.routers.last())
+        runRouterCommand(fleet, caller)
         fleet.stop()
         0
     }
 
+    /** Starts a router as the command line does, so that the archive has the classes of its start too. */
+    private suspend fun runRouterCommand(fleet: PlatformFleet, caller: PlatformCaller) {
+        val address = freeAddress()
+        val settings = File.createTempFile("comfreypath", ".properties")
+        settings.deleteOnExit()
+        settings.writeText(
+            """
+            name=warm-up
+            interface=platform
+            data-centre=${PlatformLayout.dataCentre(0).text}
+            listen=$address
+            readiness-listen=${freeAddress()}
+            peer-listen=${freeAddress()}
+            metrics-listen=${freeAddress()}
+            peers=${fleet.routers.first().options.peerAddress}
+            object-store=${fleet.storeAddress}
+            """.trimIndent(),
+        )
+        val environment = mapOf(RawSettings.FILE_VARIABLE to settings.path)
+        thread(isDaemon = true) { RouterCommand().run(emptyList(), environment) }
+        withTimeout(START_TIMEOUT_MILLISECONDS) {
+            while (runCatching { caller.call(address, PlatformRequest("open", "started", key = null)) }.isFailure) {
+                delay(START_POLL_MILLISECONDS)
+            }
+        }
+    }
+
     private suspend fun sendAllKinds(caller: PlatformCaller, router: PlatformFleet.RunningRouter, round: Int) {
         val address = router.options.callerAddress
         val id = "${router.options.name}-$round"
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RawSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RawSettings.kt
@@ -52,11 +52,8 @@
             arguments: List<String>,
             environment: Map<String, String>,
         ): Result<RawSettings, String> {
-            val flags = HashMap<String, String>()
-            val parser = CmdLineParser(null)
-            settings.forEach { parser.addOption(MapSetter(it.name, flags), toOption(it)) }
             return try {
-                parser.parseArgument(arguments)
+                val flags = if (arguments.isEmpty()) emptyMap() else parseFlags(settings, arguments)
                 val variables = settings.filter { it.envVariable in environment }
                     .associate { it.name to environment.getValue(it.envVariable) }
                 Ok(RawSettings(readFile(environment[FILE_VARIABLE]) + variables + flags))
@@ -67,6 +64,14 @@
             }
         }
 
+        private fun parseFlags(settings: List<Setting<*>>, arguments: List<String>): Map<String, String> {
+            val flags = HashMap<String, String>()
+            val parser = CmdLineParser(null)
+            settings.forEach { parser.addOption(MapSetter(it.name, flags), toOption(it)) }
+            parser.parseArgument(arguments)
+            return flags
+        }
+
         private fun readFile(path: String?): Map<String, String> {
             val properties = Properties()
             path?.let { File(it).reader().use(properties::load) }
--- a/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
+++ b/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
@@ -97,10 +97,11 @@
         val next = protocol.step(states.getValue(address.name), event, simulation.instant())
         states[address.name] = next.state
         next.actions.filterIsInstance<GossipAction.Send>().forEach { send ->
-            val size = Json.encodeToString(send.status).length + DATAGRAM_HEADER_BYTES
+            val sent = send.status.copy(echo = send.echo)
+            val size = Json.encodeToString(sent).length + DATAGRAM_HEADER_BYTES
             bytes.merge(address.name, size.toLong(), Long::plus)
             bytes.merge(send.to.name, size.toLong(), Long::plus)
-            simulation.after(Duration.ofMillis(1)) { step(send.to, GossipEvent.StatusReceived(send.status, address)) }
+            simulation.after(Duration.ofMillis(1)) { step(send.to, GossipEvent.StatusReceived(sent, address)) }
         }
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -14,6 +14,7 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationSink
+import comfreypath.router.view.FirstRead
 import comfreypath.router.view.FollowerHooks
 import comfreypath.router.view.ProbeSchedule
 import comfreypath.router.view.StoreFollower
@@ -25,6 +26,9 @@
 
 private const val MAX_WATCH_SECONDS = 25L
 
+/** The time after the start in which a router hears from its peers, if they started at the same moment. */
+private const val PEER_DISCOVERY_MILLISECONDS = 1_500L
+
 /**
  * Keeps the [ClusterView] up to date: from the store, or from peers while this router does not watch the store or
  * cannot reach it.
@@ -40,7 +44,8 @@
     private val probeSchedule = ProbeSchedule(gossipOptions.minInterval)
     private val configurationSink = ConfigurationSink(context, view.configuration)
     private val peerSelector = SnapshotPeerSelector(view) { peers.live }
-    private val registration = Registration(context, store)
+    private val startedAt = context.now()
+    private val registration = Registration(context, store, view.routers)
     private val watcherSelector = StoreWatcherSelector()
     private var configurationFetch: Job? = null
     private val snapshots = PeerSnapshots(
@@ -129,6 +134,8 @@
                 maxWait = { if (kind == ObjectKinds.ROUTERS) MAX_WATCH else watchDuration() },
                 fetchFromPeer = { peer -> fetchFromPeer(peer, kind, sink) },
                 onResponse = ::recordStoreResponse,
+                startsFrom = if (kind == ObjectKinds.CONFIGURATION) FirstRead.WATCH else FirstRead.STALE_LIST,
+                peersHeard = { context.now() >= startedAt + PEER_DISCOVERY },
             ),
         )
 
@@ -137,6 +144,7 @@
         self = context.options.name,
         dataCentre = context.options.dataCentre,
         peers = peers.live,
+        statusInterval = peers.statusInterval,
         now = context.now(),
     )
 
@@ -164,5 +172,6 @@
 
     private companion object {
         val MAX_WATCH: Duration = Duration.ofSeconds(MAX_WATCH_SECONDS)
+        val PEER_DISCOVERY: Duration = Duration.ofMillis(PEER_DISCOVERY_MILLISECONDS)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -10,9 +10,12 @@
 import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import java.time.Duration
 import java.time.Instant
 import java.time.InstantSource
 
+private const val TICK_MILLISECONDS = 100L
+
 /**
  * Dependencies shared by all components of one router. The components run only on [loop], so that their state needs no
  * lock.
@@ -39,6 +42,9 @@
         },
     )
 
+    /** Wakes the periodic tasks of this router together. */
+    val ticker = SharedTicker(loop, Duration.ofMillis(TICK_MILLISECONDS))
+
     /** The current time of [clock]. */
     fun now(): Instant = clock.instant()
 }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -28,15 +28,11 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.Json
 import java.time.Duration
 import java.time.Instant
 import kotlin.random.Random
 
-private const val POLL_MILLISECONDS = 20L
-
 /** Exchanges status messages with the other routers, and tracks which of them are live. */
 class PeerGossip(
     private val context: RouterContext,
@@ -47,6 +43,7 @@
 ) : LivePeers {
     private val protocol = GossipProtocol(options)
     private val socket = DatagramSocket(context.loop, ::receive)
+    private val encoder = PeerStatusEncoder()
     private var state = GossipState(
         self = context.options.name,
         incarnation = Random.nextInt(),
@@ -62,6 +59,9 @@
     var live: List<Peer> = emptyList()
         private set
 
+    /** The time between two status messages of a peer. */
+    val statusInterval: Duration get() = options.interval(state.peers.size)
+
     /** Called for each digest received, with the kind's code, the digest and the peer that sent it. */
     var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
 
@@ -100,11 +100,12 @@
         }
         context.launchLoop("gossip") {
             view.configuration.checkClocks()
+            socket.readPending()
             if (context.now() >= state.dueAt) {
                 step(GossipEvent.Tick(status()))
                 refreshLive()
             }
-            delay(POLL_MILLISECONDS)
+            context.ticker.await()
         }
     }
 
@@ -143,7 +144,7 @@
             decodePeerStatus(bytes).fold(
                 success = { status ->
                     val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
-                    step(GossipEvent.StatusReceived(status, address))
+                    step(GossipEvent.StatusReceived(status, address, state.pendingUpdate != null && knowsSame(status)))
                     val isLatest = state.peers[status.from]?.status === status
                     status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
                 },
@@ -154,6 +155,10 @@
         }
     }
 
+    /** True if [status] was sent by a router with the same objects as this one. */
+    private fun knowsSame(status: PeerStatus): Boolean =
+        status.configuration?.version == view.configuration.current?.value?.version && status.digests == view.digests()
+
     private fun step(event: GossipEvent) {
         val next: Step<GossipState, GossipAction> = protocol.step(state, event, context.now())
         state = next.state
@@ -163,7 +168,7 @@
     private fun perform(action: GossipAction) {
         when (action) {
             is GossipAction.Send -> {
-                val bytes = Json.encodeToString(action.status).encodeToByteArray()
+                val bytes = encoder.encode(action.status, action.echo)
                 context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
                 socket.send(Address(action.to.host, action.to.port), bytes)
             }
--- a/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
@@ -7,19 +7,33 @@
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.RouterRecord
 import comfreypath.router.store.StoreError
+import comfreypath.router.view.KindView
 import kotlinx.coroutines.delay
 
 private const val RETRY_MILLISECONDS = 500L
 
 /** Registers this router in the store, where the other routers discover it. */
-class Registration(private val context: RouterContext, private val store: ObjectStore) {
+class Registration(
+    private val context: RouterContext,
+    private val store: ObjectStore,
+    private val routers: KindView<RouterRecord>,
+) {
     private val name = context.options.name.text
     private val record = context.options.peerAddress.let { RouterRecord(it.host, it.port, context.options.dataCentre) }
 
-    /** Registers in the background, with retries until the store accepts the record. */
+    /**
+     * Registers in the background, with retries until the store accepts the record. An instance that restarts has its
+     * record already; it needs no call then.
+     */
     fun start() {
         context.launchUntil("register") {
-            register().also { registered -> if (!registered) delay(RETRY_MILLISECONDS) }
+            if (routers.confirmedAt == null) {
+                context.ticker.await()
+                false
+            } else {
+                (routers.values[name] == record || register())
+                    .also { registered -> if (!registered) delay(RETRY_MILLISECONDS) }
+            }
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -24,10 +24,8 @@
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.view.ClusterView
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.coroutines.delay
 import java.time.Duration
 
-private const val TICK_MILLISECONDS = 100L
 
 /** More rollouts at once than this are not reported to peers, to bound the size of status messages. */
 private const val MAX_REPORTS = 4
@@ -53,7 +51,7 @@
         peers.onRolloutReports = ::receive
         follow()
         context.launchLoop("advance rollouts") {
-            delay(TICK_MILLISECONDS)
+            context.ticker.await()
             drivers.values.forEach(::tick)
         }
     }
@@ -77,7 +75,13 @@
     private fun tick(driver: RolloutDriver) {
         val order = driver.progress.order
         val usable = view.endpoints.forService(order.service).any { it.version == order.target && !it.draining }
-        val rank = ranks.precedingCount("rollout ${order.service}", context.options.name, peers.live, context.now())
+        val rank = ranks.precedingCount(
+            key = "rollout ${order.service}",
+            self = context.options.name,
+            peers = peers.live,
+            statusInterval = peers.statusInterval,
+            now = context.now(),
+        )
         driver.step(RolloutEvent.Tick(rank, usable))
     }
 
--- a/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
@@ -44,11 +44,20 @@
 /**
  * The platform's store of versioned objects. Each call is counted in the metrics; none is retried here.
  *
- * Reads are linearizable: the result includes every write that the store acknowledged before the call was sent.
+ * Reads are linearizable unless they allow stale results: the result includes every write that the store acknowledged
+ * before the call was sent.
  */
 interface ObjectStore {
-    /** Lists one page of the objects of a kind, from the start or after the name [after]. */
-    suspend fun <T : Any> list(kind: ObjectKind<T>, after: String? = null): Result<ObjectPage<T>, StoreError>
+    /**
+     * Lists one page of the objects of a kind, from the start or after the name [after].
+     *
+     * @param allowStale true if the result may be some seconds old, which costs the store less
+     */
+    suspend fun <T : Any> list(
+        kind: ObjectKind<T>,
+        after: String? = null,
+        allowStale: Boolean = false,
+    ): Result<ObjectPage<T>, StoreError>
 
     /** Waits up to [maxWait] for changes after [revision]. */
     suspend fun <T : Any> watch(
--- a/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
@@ -10,6 +10,9 @@
 
 private const val MAX_QUEUED_LINES = 4_096
 
+/** The time in which lines are collected for one write. It is the most that a crash of the process loses. */
+private const val BATCHING_MILLISECONDS = 20L
+
 /**
  * Writes one JSON line per event. A dedicated thread writes the queued lines. While the queue is full, lines are
  * dropped and counted, so that a slow reader of the output never blocks requests.
@@ -47,8 +50,13 @@
     }
 
     private fun write() {
+        val batch = ArrayList<String>()
         while (true) {
-            Logger.info(lines.take())
+            batch += lines.take()
+            Thread.sleep(BATCHING_MILLISECONDS)
+            lines.drainTo(batch)
+            Logger.info(batch.joinToString("\n"))
+            batch.clear()
             val drops = dropped
             if (drops > reportedDrops && lines.isEmpty()) {
                 record("log_lines_dropped", "count" to drops - reportedDrops)
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -7,15 +7,12 @@
 import comfreypath.router.store.ObjectStore
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineName
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.apache.commons.rng.simple.RandomSource
+import org.apache.commons.rng.core.source64.SplitMix64
 import java.time.Duration
 import java.time.Instant
 
-private const val POLL_MILLISECONDS = 100L
-
 /** How long requests wait for a read that is to confirm the configuration. */
 private const val MAX_CONFIRMATION_MILLISECONDS = 500L
 
@@ -33,7 +30,7 @@
     private val ageRange: () -> ProbeAgeRange,
     private val onResponse: () -> Unit,
 ) {
-    private val random = RandomSource.SPLIT_MIX_64.create(context.options.name.text.hashCode().toLong())
+    private val random = SplitMix64(context.options.name.text.hashCode().toLong())
     private var pendingRead: PendingRead? = null
 
     private fun isFresh(maxAge: Duration): Boolean = view.age()?.let { it <= maxAge } ?: false
@@ -45,10 +42,10 @@
             val width = range.max.minus(range.min).toMillis()
             val maxAge = range.min.plusMillis(random.nextLong(width + 1))
             while (isFresh(maxAge)) {
-                delay(POLL_MILLISECONDS)
+                context.ticker.await()
             }
             probe()
-            delay(POLL_MILLISECONDS)
+            context.ticker.await()
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -14,12 +14,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
-import org.apache.commons.rng.simple.RandomSource
+import org.apache.commons.rng.core.source64.SplitMix64
 import java.time.Duration
 import java.time.Instant
 
-private const val IDLE_POLL_MILLISECONDS = 100L
-
 /** The delay between a change and the next watch. Changes come in bursts; the next call returns the rest of a burst. */
 private const val BATCHING_MILLISECONDS = 120L
 private const val JITTER = 0.3
@@ -33,6 +31,8 @@
  * The decisions and callbacks that a [StoreFollower] gets from its owner.
  *
  * @property shouldWatch true while this router is to watch the store itself
+ * @property startsFrom how the objects are first read
+ * @property peersHeard false until peers have had the time to say which of them watch the store
  * @property maxWait how long a watch may stay open without a change
  * @property fetchFromPeer fetches a snapshot from the given peer, or from any peer that is ahead if null
  * @property onResponse called when the store responded; its argument is true if that ended an outage
@@ -42,12 +42,26 @@
     val maxWait: () -> Duration,
     val fetchFromPeer: suspend (PeerAddress?) -> Unit,
     val onResponse: (afterOutage: Boolean) -> Unit,
+    val startsFrom: FirstRead = FirstRead.WATCH,
+    val peersHeard: () -> Boolean = { true },
 )
 
+/** How a [StoreFollower] first reads the objects of its kind. */
+enum class FirstRead {
+    /** By a list that may be some seconds old, which all routers may afford; a watch returns what it lacks. */
+    STALE_LIST,
+
+    /** By the list of the first watch, or from a peer. */
+    WATCH,
+}
+
 /**
  * Keeps a [StoreSink] up to date with the objects of one kind. While this router is to watch the store, it lists the
  * objects and then watches from the list's revision; otherwise it fetches snapshots from peers that are ahead.
  *
+ * At the start of a fleet no router has heard from a peer. If each watched the store until then, the calls would grow
+ * with the square of the fleet, since each start is a change. So followers wait for [FollowerHooks.peersHeard].
+ *
  * Backoff and watch times have jitter, so that the routers do not all call the store at the same moment. A watch on a
  * half-open connection is detected by comparison with peers, see [compare].
  */
@@ -59,13 +73,16 @@
     private val hooks: FollowerHooks,
 ) {
     private val random: UniformRandomProvider =
-        RandomSource.SPLIT_MIX_64.create((context.options.name.text + kind.label).hashCode().toLong())
+        SplitMix64((context.options.name.text + kind.label).hashCode().toLong())
     private var failures = 0
 
     /** The number of passes in a row that failed because an update could not be applied. */
     private var failedPasses = 0
     private var unavailableSince: Instant? = null
     private var watchJob: Job? = null
+
+    /** The revision of a stale list from which to watch; null if there is none or if it was long ago. */
+    private var listedRevision: Long? = null
     private var behindSince: Instant? = null
     private var fetchJob: Job? = null
 
@@ -75,20 +92,40 @@
     /** Starts following in the background. */
     fun start() {
         context.launchLoop("follow ${kind.label}", ::pauseAfterFailure) {
-            if (hooks.shouldWatch()) {
-                list()?.let { revision -> watch(revision) }
-                if (unavailable) {
-                    hooks.fetchFromPeer(null)
+            when {
+                !hooks.peersHeard() -> readFirst()
+                hooks.shouldWatch() -> {
+                    val from = listedRevision ?: list(allowStale = false)
+                    listedRevision = null
+                    from?.let { watch(it) }
+                    recover()
+                }
+                else -> {
+                    listedRevision = null
+                    failures = 0
+                    unavailableSince = null
+                    context.ticker.await()
                 }
-                delay(random.backoffMilliseconds(failures))
-            } else {
-                failures = 0
-                unavailableSince = null
-                delay(IDLE_POLL_MILLISECONDS)
             }
         }
     }
 
+    private suspend fun readFirst() {
+        if (hooks.startsFrom == FirstRead.STALE_LIST && listedRevision == null) {
+            listedRevision = list(allowStale = true)
+            recover()
+        } else {
+            context.ticker.await()
+        }
+    }
+
+    private suspend fun recover() {
+        if (unavailable) {
+            hooks.fetchFromPeer(null)
+        }
+        delay(random.backoffMilliseconds(failures))
+    }
+
     private fun pauseAfterFailure(): Long {
         failedPasses += 1
         return random.backoffMilliseconds(failedPasses)
@@ -126,13 +163,14 @@
     }
 
     /** Lists all pages and returns the revision to watch from, or null after a failure. */
-    private suspend fun list(): Long? {
+    private suspend fun list(allowStale: Boolean): Long? {
         val objects = ArrayList<StoredObject<T>>()
         var revision: Long? = null
         var next: String? = null
         val startedAt = context.now()
         do {
-            val page = store.list(kind, next).fold(success = { it }, failure = { failed("list", it) }) ?: return null
+            val page = store.list(kind, next, allowStale)
+                .fold(success = { it }, failure = { failed("list", it) }) ?: return null
             objects += page.objects
             revision = minOf(revision ?: page.revision, page.revision)
             next = page.next
--- a/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
+++ b/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
@@ -14,7 +14,11 @@
     private val refused = Err(StoreError.Refused(503))
 
     @Suppress("UNCHECKED_CAST")
-    override suspend fun <T : Any> list(kind: ObjectKind<T>, after: String?): Result<ObjectPage<T>, StoreError> =
+    override suspend fun <T : Any> list(
+        kind: ObjectKind<T>,
+        after: String?,
+        allowStale: Boolean,
+    ): Result<ObjectPage<T>, StoreError> =
         onList() as Result<ObjectPage<T>, StoreError>
 
     @Suppress("UNCHECKED_CAST")
--- a/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
@@ -4,13 +4,22 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import java.io.IOException
 
-/** Sends and receives UDP datagrams on one event loop; [receive] is called with each datagram and its sender. */
+private const val MAX_DATAGRAM_BYTES = 8_192
+private const val MAX_DATAGRAMS_PER_READ = 256
+
+/**
+ * Sends and receives UDP datagrams on one event loop; [receive] is called with each datagram and its sender.
+ *
+ * Datagrams wait in the operating system until [readPending] is called, so that many of them cost one wake-up.
+ */
 class DatagramSocket(private val loop: EventLoop, private val receive: (ByteArray, Address) -> Unit) {
     private var channel: Channel? = null
 
@@ -19,6 +28,8 @@
         val bound = Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, bufferSizes())
             .handler(Receiver())
             .bind(address.toSocketAddress())
         if (!bound.awaitSuccess()) {
@@ -32,16 +43,30 @@
         channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), target.toSocketAddress()))
     }
 
+    /** Receives the datagrams that have arrived, or else the next ones. */
+    fun readPending() {
+        channel?.config()?.isAutoRead = true
+    }
+
     /** Closes the socket. */
     fun stop() {
         channel?.close()
     }
 
+    private fun bufferSizes() =
+        FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_READ)
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun isSharable(): Boolean = false
+
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
             receive(bytes, Address(packet.sender().address.hostAddress, packet.sender().port))
         }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            context.channel().config().isAutoRead = false
+        }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -100,6 +100,8 @@
     /** Closes the connection; a response in progress is incomplete. */
     fun close() = abort(AbortReason.CLOSED)
 
+    override fun isSharable(): Boolean = false
+
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
             abort(
@@ -167,7 +169,7 @@
         super.channelInactive(context)
     }
 
-    @Deprecated("Deprecated in Netty's interface")
+    @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         reset = true
         context.close()
--- a/transport/src/main/kotlin/comfreypath/transport/LingeringReader.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/LingeringReader.kt
@@ -18,6 +18,8 @@
     private var discardedBytes = 0L
     private var timeout: Future<*>? = null
 
+    override fun isSharable(): Boolean = false
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         timeout = context.executor().schedule({ context.close() }, MAX_LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
--- a/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
@@ -35,6 +35,8 @@
     var receiving = false
         private set
 
+    override fun isSharable(): Boolean = false
+
     override fun handlerAdded(context: ChannelHandlerContext) = awaitRequest(context)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -15,6 +15,8 @@
     private val aggregator = RequestAggregator({ environment.options().maxBodyBytes }, pipeline.timer)
     private lateinit var requests: RequestQueue
 
+    override fun isSharable(): Boolean = false
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, pipeline) {
             if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
@@ -53,7 +55,7 @@
         super.channelInactive(context)
     }
 
-    @Deprecated("Deprecated in Netty's interface")
+    @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
     }
--- a/transport/src/main/kotlin/comfreypath/transport/WriteGate.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/WriteGate.kt
@@ -11,6 +11,8 @@
     /** Suspends while the buffer is full; returns at once if the connection is closed. */
     suspend fun awaitWritable() = writable.await()
 
+    override fun isSharable(): Boolean = false
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (context.channel().isWritable) {
             writable.complete(Unit)
