Let one router confirm the configuration for the fleet

Cause: each router read the configuration when its last confirmation reached an age of 2.4 to 3 s.

Change: one router reads, one in each data centre asks it, the others ask that one and get a reply at once; who reads when its confirmation gets too old all the same is unchanged. A router that does not call the store counts as connected to it until a call fails.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -25,6 +25,9 @@
     /** Time has passed; [ownStatus] is this router's current status, without an echo. */
     data class Tick(val ownStatus: PeerStatus) : GossipEvent
 
+    /** This router needs the status of [peer] at once, to learn how fresh its configuration is. */
+    data class StatusNeeded(val peer: PeerAddress, val ownStatus: PeerStatus) : GossipEvent
+
     /**
      * This router learned something that its peers should know before the next regular status message.
      *
@@ -48,6 +51,9 @@
     /** Compare the [digest] of a peer with this router's own, for the object kind with this code. */
     data class CompareDigest(val kindCode: String, val digest: KindDigest, val peer: PeerAddress) : GossipAction
 
+    /** Send this router's status to a peer that has asked for it, with [echo] as its echo. */
+    data class Reply(val to: PeerAddress, val echo: StatusStamp) : GossipAction
+
     /** Merge the peer's [reports] of prompt parts, which are recent. */
     data class MergePartReports(val from: InstanceName, val reports: List<PartReport>) : GossipAction
 }
@@ -70,6 +76,7 @@
         is GossipEvent.Registered -> Step(withRegistered(state, event.routers))
         is GossipEvent.StatusReceived -> statusReceived(state, event, now)
         is GossipEvent.Tick -> tick(state, event.ownStatus, now)
+        is GossipEvent.StatusNeeded -> Step(state, listOf(request(state, event)))
         is GossipEvent.UpdateLearned -> Step(state.withPendingUpdate(event, options, now))
     }
 
@@ -99,9 +106,16 @@
         val actions = confirmations(state, status) + comparisons(status, peer.address)
         val reports = status.partReports.takeIf { state.isRecent(status, options, now) }.orEmpty()
         val merge = if (reports.isEmpty()) emptyList() else listOf(GossipAction.MergePartReports(status.from, reports))
-        return Step(next, actions + merge)
+        val reply = if (status.replyRequested) listOf(GossipAction.Reply(peer.address, status.stamp)) else emptyList()
+        return Step(next, actions + merge + reply)
     }
 
+    private fun request(state: GossipState, event: GossipEvent.StatusNeeded) = GossipAction.Send(
+        to = event.peer,
+        status = event.ownStatus.copy(replyRequested = true),
+        echo = state.peers[event.peer.name]?.status?.stamp,
+    )
+
     private fun Peer.lastStatusPrecedes(candidate: PeerStatus): Boolean {
         val last = status?.stamp
         return last == null || candidate.stamp.incarnation != last.incarnation ||
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -16,11 +16,13 @@
  * that one, however long either took to arrive
  * @property draining true once the sender has begun to stop; it still accepts requests for a short time
  * @property ready true while the platform may send callers to the sender
- * @property storeResponseAgeMilliseconds time since the store's latest response to the sender; null before the first
+ * @property storeResponseAgeMilliseconds time since the store's latest response to the sender, 0 if no later call has
+ * failed; null before the first response
  * @property configuration freshness of the sender's configuration; null if it has none
  * @property digests digests of the sender's other objects, by the code of the object kind
  * @property inFlight requests that the sender has in flight
  * @property rollouts the sender's reports on open rollouts; null if there are none
+ * @property replyRequested true if the receiver is to reply at once with its own status
  * @property partReports prompt parts that may crash endpoints
  */
 @Serializable
@@ -36,6 +38,7 @@
     @SerialName("k") val digests: Map<String, KindDigest> = emptyMap(),
     @SerialName("f") val inFlight: InFlight = InFlight(),
     @SerialName("o") val rollouts: RolloutReports? = null,
+    @SerialName("q") val replyRequested: Boolean = false,
     @SerialName("p") val partReports: List<PartReport> = emptyList(),
 )
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -53,11 +53,28 @@
         statusInterval: Duration,
         now: Instant,
     ): Int {
-        val silence = maxOf(maxSilence, statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+        val silence = maxSilence(statusInterval)
         val ownRank = rank(key, self)
         return peers.count { isEligible(it, silence, now) && rank(key, it.address.name) > ownRank }
     }
 
+    /** Returns the eligible one of [peers] of the highest rank for the duty called [key]; null if it is [self]. */
+    fun first(
+        key: String,
+        self: InstanceName,
+        peers: Collection<Peer>,
+        statusInterval: Duration,
+        now: Instant,
+    ): Peer? {
+        val silence = maxSilence(statusInterval)
+        val ownRank = rank(key, self)
+        return peers.filter { isEligible(it, silence, now) && rank(key, it.address.name) > ownRank }
+            .maxByOrNull { rank(key, it.address.name) }
+    }
+
+    private fun maxSilence(statusInterval: Duration) =
+        maxOf(maxSilence, statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+
     private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
 
     private fun isEligible(peer: Peer, silence: Duration, now: Instant): Boolean {
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -1,5 +1,6 @@
 package comfreypath.router
 
+import comfreypath.coordination.fleet.ConfirmationPolicy
 import comfreypath.coordination.fleet.GossipOptions
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.StoreWatcherSelector
@@ -47,6 +48,7 @@
     private val startedAt = context.now()
     private val registration = Registration(context, store, view.routers)
     private val watcherSelector = StoreWatcherSelector()
+    private val confirmations = ConfirmationPolicy(watcherSelector)
     private var configurationFetch: Job? = null
     private val snapshots = PeerSnapshots(
         context,
@@ -76,6 +78,9 @@
         sink = configurationSink,
         ageRange = { probeSchedule.ageRange(stalenessLimits.keys) },
         onResponse = { recordStoreResponse(afterOutage = false) },
+        onFailure = ::recordStoreFailure,
+        confirmation = ::confirmationStep,
+        askPeer = peers::requestStatus,
     )
 
     /** Starts the configuration probe and the endpoint follower, on which requests depend. */
@@ -134,6 +139,7 @@
                 maxWait = { if (kind == ObjectKinds.ROUTERS) MAX_WATCH else watchDuration() },
                 fetchFromPeer = { peer -> fetchFromPeer(peer, kind, sink) },
                 onResponse = ::recordStoreResponse,
+                onFailure = ::recordStoreFailure,
                 startsFrom = if (kind == ObjectKinds.CONFIGURATION) FirstRead.WATCH else FirstRead.STALE_LIST,
                 peersHeard = { context.now() >= startedAt + PEER_DISCOVERY },
             ),
@@ -155,6 +161,20 @@
         }
     }
 
+    private fun recordStoreFailure() {
+        peers.lastStoreFailureAt = context.now()
+    }
+
+    private fun confirmationStep(age: Duration?, maxAge: Duration) = confirmations.next(
+        self = context.options.name,
+        dataCentre = context.options.dataCentre,
+        peers = peers.live,
+        age = age,
+        maxAge = maxAge,
+        statusInterval = peers.statusInterval,
+        now = context.now(),
+    )
+
     /** Fetches a snapshot of [kind] from [peer] or, if it is null, from a peer that is ahead of this router, if any. */
     private suspend fun <T : Any> fetchFromPeer(peer: PeerAddress?, kind: ObjectKind<T>, sink: StoreSink<T>) {
         val address = peer?.let { Address(it.host, it.port) } ?: peerSelector.select(kind)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -74,6 +74,9 @@
     /** When the store last responded to this router; null before the first response. */
     var lastStoreResponseAt: Instant? = null
 
+    /** When a call of this router to the store last failed; null before the first failure. */
+    var lastStoreFailureAt: Instant? = null
+
     /** True once this router has begun to stop. */
     var draining: Boolean = false
 
@@ -112,6 +115,9 @@
     /** Schedules an early status message to all peers, or to a few, because this router has an update for them. */
     fun announceUpdate(toAll: Boolean) = step(GossipEvent.UpdateLearned(toAll))
 
+    /** Asks [peer] for its status, which tells how fresh its configuration is. */
+    fun requestStatus(peer: PeerAddress) = step(GossipEvent.StatusNeeded(peer, status()))
+
     /** Stops receiving status messages. */
     fun stop() = socket.stop()
 
@@ -127,7 +133,7 @@
             stamp = StatusStamp(state.incarnation, now.toEpochMilli()),
             ready = ready(),
             draining = draining,
-            storeResponseAgeMilliseconds = lastStoreResponseAt?.let { Duration.between(it, now).toMillis() },
+            storeResponseAgeMilliseconds = storeResponseAge(now)?.toMillis(),
             configuration = view.configuration.current?.let {
                 ConfigurationFreshness(it.value.version, it.age(now).toMillis() + 1)
             },
@@ -138,6 +144,12 @@
         )
     }
 
+    /** Most routers of a large fleet do not call the store; one that has not failed since counts as connected to it. */
+    private fun storeResponseAge(now: Instant): Duration? = lastStoreResponseAt?.let { respondedAt ->
+        val failed = lastStoreFailureAt?.let { it > respondedAt } ?: false
+        if (failed) Duration.between(respondedAt, now) else Duration.ZERO
+    }
+
     private fun receive(bytes: ByteArray, sender: Address) {
         context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
         context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
@@ -167,17 +179,20 @@
 
     private fun perform(action: GossipAction) {
         when (action) {
-            is GossipAction.Send -> {
-                val bytes = encoder.encode(action.status, action.echo)
-                context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
-                socket.send(Address(action.to.host, action.to.port), bytes)
-            }
+            is GossipAction.Send -> send(action.to, action.status, action.echo)
+            is GossipAction.Reply -> send(action.to, status(), action.echo)
             is GossipAction.ConfirmConfiguration -> confirm(action)
             is GossipAction.MergePartReports -> onPartReports(action.from, action.reports)
             is GossipAction.CompareDigest -> onDigest(action.kindCode, action.digest, action.peer)
         }
     }
 
+    private fun send(to: PeerAddress, status: PeerStatus, echo: StatusStamp?) {
+        val bytes = encoder.encode(status, echo)
+        context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
+        socket.send(Address(to.host, to.port), bytes)
+    }
+
     private fun confirm(action: GossipAction.ConfirmConfiguration) {
         val known = view.configuration.current?.value?.version
         when {
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -1,6 +1,8 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.fleet.ConfirmationStep
+import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.router.RouterContext
 import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKinds
@@ -13,14 +15,18 @@
 import java.time.Duration
 import java.time.Instant
 
+/** Several times the time that a peer needs to reply. */
+private const val ASK_INTERVAL_MILLISECONDS = 400L
+
 /** How long requests wait for a read that is to confirm the configuration. */
 private const val MAX_CONFIRMATION_MILLISECONDS = 500L
 
 /**
- * Reads the configuration when the last confirmation that it is current gets old.
+ * Renews the confirmation that the configuration is current when the last one gets old: by a read, or from a peer.
  *
  * A silent watch confirms nothing, because its connection may be half-open. Routers pass confirmations on to each
- * other, and each draws its age limit at random, so that usually one read serves the whole fleet.
+ * other, and each draws its age limit at random, so that few read at the same moment if the peers' confirmations stay
+ * away.
  */
 class ConfigurationProbe(
     private val context: RouterContext,
@@ -29,26 +35,49 @@
     private val sink: ConfigurationSink,
     private val ageRange: () -> ProbeAgeRange,
     private val onResponse: () -> Unit,
+    private val onFailure: () -> Unit = {},
+    private val confirmation: (age: Duration?, maxAge: Duration) -> ConfirmationStep = ::readWhenOld,
+    private val askPeer: (PeerAddress) -> Unit = {},
 ) {
     private val random = SplitMix64(context.options.name.text.hashCode().toLong())
     private var pendingRead: PendingRead? = null
 
+    /** The age at which this router reads the store in any case; null before it is drawn. */
+    private var maxAge: Duration? = null
+    private var mayAskAt = Instant.MIN
+
     private fun isFresh(maxAge: Duration): Boolean = view.age()?.let { it <= maxAge } ?: false
 
     /** Starts probing in the background. */
     fun start() {
         context.launchLoop("probe configuration") {
-            val range = ageRange()
-            val width = range.max.minus(range.min).toMillis()
-            val maxAge = range.min.plusMillis(random.nextLong(width + 1))
-            while (isFresh(maxAge)) {
-                context.ticker.await()
+            val maxAge = maxAge ?: drawMaxAge().also { maxAge = it }
+            when (val step = confirmation(view.age(), maxAge)) {
+                ConfirmationStep.Wait -> Unit
+                ConfirmationStep.ReadStore -> {
+                    this.maxAge = null
+                    probe()
+                }
+                is ConfirmationStep.AskPeer -> ask(step.peer)
             }
-            probe()
             context.ticker.await()
         }
     }
 
+    private fun drawMaxAge(): Duration {
+        val range = ageRange()
+        val width = range.max.minus(range.min).toMillis()
+        return range.min.plusMillis(random.nextLong(width + 1))
+    }
+
+    private fun ask(peer: PeerAddress) {
+        val now = context.now()
+        if (now >= mayAskAt) {
+            mayAskAt = now.plusMillis(ASK_INTERVAL_MILLISECONDS)
+            askPeer(peer)
+        }
+    }
+
     /** Reads the configuration now, or joins a read in progress; returns false if the store did not return it. */
     suspend fun probe(): Boolean = (pendingRead ?: startRead()).succeeded.await()
 
@@ -87,10 +116,16 @@
                 stored?.let { sink.update(it, startedAt) }
                 stored != null
             },
-            failure = { false },
+            failure = {
+                onFailure()
+                false
+            },
         )
 
     private class PendingRead(val startedAt: Instant) {
         val succeeded = CompletableDeferred<Boolean>()
     }
 }
+
+private fun readWhenOld(age: Duration?, maxAge: Duration): ConfirmationStep =
+    if (age == null || age >= maxAge) ConfirmationStep.ReadStore else ConfirmationStep.Wait
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -36,12 +36,14 @@
  * @property maxWait how long a watch may stay open without a change
  * @property fetchFromPeer fetches a snapshot from the given peer, or from any peer that is ahead if null
  * @property onResponse called when the store responded; its argument is true if that ended an outage
+ * @property onFailure called when a call to the store failed
  */
 class FollowerHooks(
     val shouldWatch: () -> Boolean,
     val maxWait: () -> Duration,
     val fetchFromPeer: suspend (PeerAddress?) -> Unit,
     val onResponse: (afterOutage: Boolean) -> Unit,
+    val onFailure: () -> Unit = {},
     val startsFrom: FirstRead = FirstRead.WATCH,
     val peersHeard: () -> Boolean = { true },
 )
@@ -217,6 +219,7 @@
             return null
         }
         failures += 1
+        hooks.onFailure()
         if (unavailableSince == null) {
             unavailableSince = context.now()
             context.log.record("store_lost", "kind" to kind.label, "verb" to verb, "error" to error)
