Send no request whose caller has left or whose deadline has passed

Endpoints were told the time that was left before the connection was opened.

Change: time left and caller are checked at the moment of sending; a request counts as received when the busy event loop last could have read it, and the caller's close is read before the request goes on.

--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -43,7 +43,7 @@
     )
 
     /** Wakes the periodic tasks of this router together. */
-    val ticker = SharedTicker(loop, Duration.ofMillis(TICK_MILLISECONDS))
+    val ticker = SharedTicker(loop, Duration.ofMillis(TICK_MILLISECONDS), clock)
 
     /** The current time of [clock]. */
     fun now(): Instant = clock.instant()
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -188,7 +188,9 @@
             cacheSource = selection.cacheSource,
             traceParent = exchange.traceParent,
         )
-        val sent = dependencies.sender.send(request, plan, route.repeatable, state.deadline, activity)
+        val sent = dependencies.sender.send(request, plan, route.repeatable, state.deadline, activity) {
+            callerConnected
+        }
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
             is SendResult.Responding -> if (sent.head.genuine) {
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -9,9 +9,19 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import java.io.IOException
 import java.time.Duration
+import java.time.Instant
+
+private const val MAX_UNNOTICED_WAIT_MILLISECONDS = 100L
+
+/** A task with this delay runs after the event loop has read its connections once more. */
+private const val NEXT_READ_MILLISECONDS = 1L
+
+/** How long a request may have waited to be read before its caller is suspected of having left. */
+private val MAX_UNNOTICED_WAIT: Duration = Duration.ofMillis(MAX_UNNOTICED_WAIT_MILLISECONDS)
 
 /** Reads callers' requests, runs them through [stages], and writes refusals. */
 class RequestPipeline(
@@ -32,7 +42,7 @@
         inProgress += 1
         context.metrics.inProgress.set(inProgress.toDouble())
         try {
-            dialect.read(incoming, context.now()).fold(
+            dialect.read(incoming, receivedAt()).fold(
                 success = { request -> start(CallerExchange(request, writer)) },
                 failure = { refusal -> write(refusal, null, writer) },
             )
@@ -42,6 +52,19 @@
         }
     }
 
+    /**
+     * When the request arrived. On an overloaded instance it may have waited to be read; its caller's close may then wait
+     * too, so that it is given the chance to be read first.
+     */
+    private suspend fun receivedAt(): Instant {
+        val waited = context.ticker.overdue()
+        val arrivedAt = context.now() - waited
+        if (waited > MAX_UNNOTICED_WAIT) {
+            delay(NEXT_READ_MILLISECONDS)
+        }
+        return arrivedAt
+    }
+
     private suspend fun start(exchange: CallerExchange) {
         if (stopped) {
             refuse(exchange, stopRefusal(exchange))
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -20,6 +20,9 @@
 private const val MAX_FOREIGN_BYTES = 1_048_576
 private const val MAX_FOREIGN_HEADS = 16
 private const val MAX_IDLE_SECONDS = 4L
+
+/** The idle connections to an endpoint up to which one that was opened in vain is kept. */
+private const val MAX_UNUSED_CONNECTIONS = 2
 private const val MAX_IDLE_NON_REPEATABLE_MILLISECONDS = 250L
 
 /** The result of sending a request and waiting for the response head. */
@@ -46,18 +49,36 @@
      */
     private val maxIdleTimeNonRepeatable = Duration.ofMillis(MAX_IDLE_NON_REPEATABLE_MILLISECONDS)
 
-    /** Sends [request] according to [plan], and waits for the response head until [deadline]. */
+    /**
+     * Sends [request] according to [plan], and waits for the response head until [deadline].
+     *
+     * @param wanted false once the caller has left; a request that was not sent by then is not sent any more
+     */
     suspend fun send(
         request: CallerRequest,
         plan: SendPlan,
         repeatable: Boolean,
         deadline: Instant,
         activity: ResponseActivity,
+        wanted: () -> Boolean = { true },
     ): SendResult {
         val address = Address(plan.endpoint.host, plan.endpoint.port)
         val idleLimit = if (repeatable) maxIdleTime else maxIdleTimeNonRepeatable
-        return pool.acquire(address, idleLimit, context.options.timeouts.connect).fold(
-            success = { exchange(request, plan, it.connection, deadline, activity) },
+        val connectTimeout = minOf(context.options.timeouts.connect, Duration.between(context.now(), deadline))
+        if (connectTimeout.toMillis() <= 0) {
+            return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed"))
+        }
+        return pool.acquire(address, idleLimit, connectTimeout).fold(
+            success = { acquired ->
+                val timeLeft = Duration.between(context.now(), deadline)
+                if (timeLeft.toMillis() <= 0 || !wanted()) {
+                    pool.release(acquired.connection, maxIdleTime, MAX_UNUSED_CONNECTIONS)
+                    val cause = if (wanted()) "the deadline has passed" else "the caller has left"
+                    SendResult.Failed(AttemptOutcome.NotSent(cause))
+                } else {
+                    exchange(request, plan.copy(timeLeft = timeLeft), acquired.connection, deadline, activity)
+                }
+            },
             failure = { SendResult.Failed(AttemptOutcome.NotSent("connect: ${it.cause}")) },
         )
     }
