--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/ConfirmationPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/ConfirmationPolicy.kt
@@ -1,9 +1,6 @@
 package comfreypath.coordination.fleet
 
-import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.InstanceName
 import java.time.Duration
-import java.time.Instant
 
 private const val DUTY = "confirm"
 
@@ -35,29 +32,20 @@
  */
 class ConfirmationPolicy(private val selector: StoreWatcherSelector = StoreWatcherSelector()) {
     /**
-     * Returns the next step of the router [self].
+     * Returns the next step of a router.
      *
      * @param age time since the last confirmation; null if there was none
      * @param maxAge the age at which this router reads the store in any case
      */
-    fun next(
-        self: InstanceName,
-        dataCentre: DataCentreName,
-        peers: Collection<Peer>,
-        age: Duration?,
-        maxAge: Duration,
-        statusInterval: Duration,
-        now: Instant,
-    ): ConfirmationStep {
-        if (age == null || age >= maxAge) {
-            return ConfirmationStep.ReadStore
-        }
-        if (age < maxAge.share(READER_SHARE)) {
-            return ConfirmationStep.Wait
-        }
-        val local = peers.filter { it.address.dataCentre == dataCentre }
-        val relay = selector.first(DUTY, self, local, statusInterval, now)
-        val source = relay ?: selector.first(DUTY, self, peers, statusInterval, now)
+    fun next(fleet: FleetView, age: Duration?, maxAge: Duration): ConfirmationStep = when {
+        age == null || age >= maxAge -> ConfirmationStep.ReadStore
+        age < maxAge.share(READER_SHARE) -> ConfirmationStep.Wait
+        else -> renewal(fleet, age, maxAge)
+    }
+
+    private fun renewal(fleet: FleetView, age: Duration, maxAge: Duration): ConfirmationStep {
+        val relay = selector.first(DUTY, fleet.local())
+        val source = relay ?: selector.first(DUTY, fleet)
         return when {
             source == null -> ConfirmationStep.ReadStore
             age < maxAge.share(if (relay == null) RELAY_SHARE else MEMBER_SHARE) -> ConfirmationStep.Wait
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
@@ -0,0 +1,26 @@
+package comfreypath.coordination.fleet
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import java.time.Duration
+import java.time.Instant
+
+/**
+ * What one router knows of the others when it takes a decision.
+ *
+ * @property self this router
+ * @property dataCentre the data centre of this router
+ * @property peers the live peers
+ * @property statusInterval time between two status messages of a peer
+ * @property now the time of the decision
+ */
+data class FleetView(
+    val self: InstanceName,
+    val dataCentre: DataCentreName,
+    val peers: Collection<Peer>,
+    val statusInterval: Duration,
+    val now: Instant,
+) {
+    /** The same, without the peers in other data centres. */
+    fun local(): FleetView = copy(peers = peers.filter { it.address.dataCentre == dataCentre })
+}
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -76,7 +76,10 @@
         is GossipEvent.Registered -> Step(withRegistered(state, event.routers))
         is GossipEvent.StatusReceived -> statusReceived(state, event, now)
         is GossipEvent.Tick -> tick(state, event.ownStatus, now)
-        is GossipEvent.StatusNeeded -> Step(state, listOf(request(state, event)))
+        is GossipEvent.StatusNeeded -> {
+            val echo = state.peers[event.peer.name]?.status?.stamp
+            Step(state, listOf(GossipAction.Send(event.peer, event.ownStatus.copy(replyRequested = true), echo)))
+        }
         is GossipEvent.UpdateLearned -> Step(state.withPendingUpdate(event, options, now))
     }
 
@@ -110,12 +113,6 @@
         return Step(next, actions + merge + reply)
     }
 
-    private fun request(state: GossipState, event: GossipEvent.StatusNeeded) = GossipAction.Send(
-        to = event.peer,
-        status = event.ownStatus.copy(replyRequested = true),
-        echo = state.peers[event.peer.name]?.status?.stamp,
-    )
-
     private fun Peer.lastStatusPrecedes(candidate: PeerStatus): Boolean {
         val last = status?.stamp
         return last == null || candidate.stamp.incarnation != last.incarnation ||
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -1,6 +1,5 @@
 package comfreypath.coordination.fleet
 
-import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.placement.mix
@@ -28,52 +27,21 @@
     private val maxSilence: Duration = Duration.ofMillis(MAX_SILENCE_MILLISECONDS),
     private val maxStoreResponseAge: Duration = Duration.ofMillis(MAX_STORE_RESPONSE_AGE_MILLISECONDS),
 ) {
-    /** Returns whether the router [self] must watch the objects of the kind with the code [kind]. */
-    fun shouldWatch(
-        kind: String,
-        self: InstanceName,
-        dataCentre: DataCentreName,
-        peers: Collection<Peer>,
-        statusInterval: Duration,
-        now: Instant,
-    ): Boolean {
-        val local = peers.filter { it.address.dataCentre == dataCentre }
-        return precedingCount(kind, self, local, statusInterval, now) == 0
-    }
+    /** Returns whether this router must watch the objects of the kind with the code [kind]. */
+    fun shouldWatch(kind: String, fleet: FleetView): Boolean = precedingCount(kind, fleet.local()) == 0
 
-    /**
-     * Returns the number of eligible [peers] of higher rank than [self] for the duty called [key].
-     *
-     * @param statusInterval time between two status messages of a peer
-     */
-    fun precedingCount(
-        key: String,
-        self: InstanceName,
-        peers: Collection<Peer>,
-        statusInterval: Duration,
-        now: Instant,
-    ): Int {
-        val silence = maxSilence(statusInterval)
-        val ownRank = rank(key, self)
-        return peers.count { isEligible(it, silence, now) && rank(key, it.address.name) > ownRank }
-    }
+    /** Returns the number of eligible peers of higher rank than this router for the duty called [key]. */
+    fun precedingCount(key: String, fleet: FleetView): Int = preceding(key, fleet).size
 
-    /** Returns the eligible one of [peers] of the highest rank for the duty called [key]; null if it is [self]. */
-    fun first(
-        key: String,
-        self: InstanceName,
-        peers: Collection<Peer>,
-        statusInterval: Duration,
-        now: Instant,
-    ): Peer? {
-        val silence = maxSilence(statusInterval)
-        val ownRank = rank(key, self)
-        return peers.filter { isEligible(it, silence, now) && rank(key, it.address.name) > ownRank }
-            .maxByOrNull { rank(key, it.address.name) }
-    }
+    /** Returns the eligible peer of the highest rank for the duty called [key]; null if it is this router. */
+    fun first(key: String, fleet: FleetView): Peer? =
+        preceding(key, fleet).maxByOrNull { rank(key, it.address.name) }
 
-    private fun maxSilence(statusInterval: Duration) =
-        maxOf(maxSilence, statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+    private fun preceding(key: String, fleet: FleetView): List<Peer> {
+        val silence = maxOf(maxSilence, fleet.statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+        val ownRank = rank(key, fleet.self)
+        return fleet.peers.filter { isEligible(it, silence, fleet.now) && rank(key, it.address.name) > ownRank }
+    }
 
     private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/ConfirmationPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/ConfirmationPolicyTest.kt
@@ -32,7 +32,7 @@
 
     private fun steps(age: Duration, asPeer: (PeerAddress) -> Peer = { peer(it) }) = routers.associateWith { self ->
         val peers = routers.filter { it != self }.map(asPeer)
-        policy.next(self.name, self.dataCentre, peers, age, maxAge, interval, now)
+        policy.next(FleetView(self.name, self.dataCentre, peers, interval, now), age, maxAge)
     }
 
     @Test
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreWatcherSelectorTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreWatcherSelectorTest.kt
@@ -6,6 +6,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import java.time.Duration
 import java.time.Instant
 
 class StoreWatcherSelectorTest {
@@ -30,8 +31,11 @@
         ),
     )
 
+    private fun fleet(self: Router, peers: List<Peer>, statusInterval: Duration = interval) =
+        FleetView(self.name, self.dataCentre, peers, statusInterval, now)
+
     private fun watchers(all: List<Router>, asPeer: (Router) -> Peer = { peer(it) }) = all.filter { self ->
-        selector.shouldWatch("e", self.name, self.dataCentre, all.filter { it !== self }.map(asPeer), interval, now)
+        selector.shouldWatch("e", fleet(self, all.filter { it !== self }.map(asPeer)))
     }
 
     @Test
@@ -50,7 +54,7 @@
         val due = now.minus(options.interval(LARGE))
         val watching = all.filter { self ->
             val peers = all.filter { it !== self }.map { peer(it, receivedAt = due) }
-            selector.shouldWatch("e", self.name, self.dataCentre, peers, options.interval(LARGE), now)
+            selector.shouldWatch("e", fleet(self, peers, options.interval(LARGE)))
         }
         expectThat(watching.size).isEqualTo(dataCentres.size)
     }
@@ -93,7 +97,7 @@
         val watching = kinds.map { kind ->
             all.filter { self ->
                 val peers = all.filter { it !== self }.map { peer(it) }
-                selector.shouldWatch(kind, self.name, self.dataCentre, peers, interval, now)
+                selector.shouldWatch(kind, fleet(self, peers))
             }.map { it.name }.toSet()
         }
         expectThat(watching.toSet().size > 1).isTrue()
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -15,6 +15,7 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationSink
+import comfreypath.router.view.ConfirmationRenewal
 import comfreypath.router.view.FirstRead
 import comfreypath.router.view.FollowerHooks
 import comfreypath.router.view.ProbeSchedule
@@ -76,11 +77,12 @@
         store = store,
         view = view.configuration,
         sink = configurationSink,
-        ageRange = { probeSchedule.ageRange(stalenessLimits.keys) },
-        onResponse = { recordStoreResponse(afterOutage = false) },
-        onFailure = ::recordStoreFailure,
-        confirmation = ::confirmationStep,
-        askPeer = peers::requestStatus,
+        reachability = peers.store,
+        renewal = ConfirmationRenewal(
+            ageRange = { probeSchedule.ageRange(stalenessLimits.keys) },
+            next = { age, maxAge -> confirmations.next(peers.fleet, age, maxAge) },
+            askPeer = peers::requestStatus,
+        ),
     )
 
     /** Starts the configuration probe and the endpoint follower, on which requests depend. */
@@ -138,42 +140,13 @@
                 shouldWatch = { shouldWatch(kind) },
                 maxWait = { if (kind == ObjectKinds.ROUTERS) MAX_WATCH else watchDuration() },
                 fetchFromPeer = { peer -> fetchFromPeer(peer, kind, sink) },
-                onResponse = ::recordStoreResponse,
-                onFailure = ::recordStoreFailure,
+                reachability = peers.store,
                 startsFrom = if (kind == ObjectKinds.CONFIGURATION) FirstRead.WATCH else FirstRead.STALE_LIST,
                 peersHeard = { context.now() >= startedAt + PEER_DISCOVERY },
             ),
         )
 
-    private fun shouldWatch(kind: ObjectKind<*>): Boolean = watcherSelector.shouldWatch(
-        kind = kind.code,
-        self = context.options.name,
-        dataCentre = context.options.dataCentre,
-        peers = peers.live,
-        statusInterval = peers.statusInterval,
-        now = context.now(),
-    )
-
-    private fun recordStoreResponse(afterOutage: Boolean) {
-        peers.lastStoreResponseAt = context.now()
-        if (afterOutage) {
-            view.endpoints.storeRecoveredAt = context.now()
-        }
-    }
-
-    private fun recordStoreFailure() {
-        peers.lastStoreFailureAt = context.now()
-    }
-
-    private fun confirmationStep(age: Duration?, maxAge: Duration) = confirmations.next(
-        self = context.options.name,
-        dataCentre = context.options.dataCentre,
-        peers = peers.live,
-        age = age,
-        maxAge = maxAge,
-        statusInterval = peers.statusInterval,
-        now = context.now(),
-    )
+    private fun shouldWatch(kind: ObjectKind<*>): Boolean = watcherSelector.shouldWatch(kind.code, peers.fleet)
 
     /** Fetches a snapshot of [kind] from [peer] or, if it is null, from a peer that is ahead of this router, if any. */
     private suspend fun <T : Any> fetchFromPeer(peer: PeerAddress?, kind: ObjectKind<T>, sink: StoreSink<T>) {
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -1,9 +1,9 @@
 package comfreypath.router.peers
 
-import com.github.michaelbull.result.fold
 import comfreypath.coordination.Step
 import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.fleet.ConfigurationFreshness
+import comfreypath.coordination.fleet.FleetView
 import comfreypath.coordination.fleet.GossipAction
 import comfreypath.coordination.fleet.GossipEvent
 import comfreypath.coordination.fleet.GossipOptions
@@ -22,15 +22,10 @@
 import comfreypath.router.launchLoop
 import comfreypath.router.request.LivePeers
 import comfreypath.router.sending.EndpointTracker
+import comfreypath.router.store.StoreReachability
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
-import comfreypath.transport.DatagramSocket
 import kotlinx.collections.immutable.toImmutableList
-import kotlinx.coroutines.CoroutineName
-import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.launch
-import java.time.Duration
-import java.time.Instant
 import kotlin.random.Random
 
 /** Exchanges status messages with the other routers, and tracks which of them are live. */
@@ -42,8 +37,7 @@
     private val options: GossipOptions,
 ) : LivePeers {
     private val protocol = GossipProtocol(options)
-    private val socket = DatagramSocket(context.loop, ::receive)
-    private val encoder = PeerStatusEncoder()
+    private val socket = PeerSocket(context, ::receive)
     private var state = GossipState(
         self = context.options.name,
         incarnation = Random.nextInt(),
@@ -59,8 +53,15 @@
     var live: List<Peer> = emptyList()
         private set
 
-    /** The time between two status messages of a peer. */
-    val statusInterval: Duration get() = options.interval(state.peers.size)
+    /** What this router knows of the others now. */
+    val fleet: FleetView
+        get() = FleetView(
+            self = context.options.name,
+            dataCentre = context.options.dataCentre,
+            peers = live,
+            statusInterval = options.interval(state.peers.size),
+            now = context.now(),
+        )
 
     /** Called for each digest received, with the kind's code, the digest and the peer that sent it. */
     var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
@@ -71,11 +72,8 @@
     /** Called with the reports of prompt parts in each recent message of a peer. */
     var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
 
-    /** When the store last responded to this router; null before the first response. */
-    var lastStoreResponseAt: Instant? = null
-
-    /** When a call of this router to the store last failed; null before the first failure. */
-    var lastStoreFailureAt: Instant? = null
+    /** Whether the store responds to this router. */
+    val store = StoreReachability(context.clock) { view.endpoints.storeRecoveredAt = context.now() }
 
     /** True once this router has begun to stop. */
     var draining: Boolean = false
@@ -91,7 +89,7 @@
 
     /** Starts receiving and sending status messages. */
     suspend fun start() {
-        socket.start(context.options.peerAddress)
+        socket.start()
         view.routers.onChange {
             step(
                 GossipEvent.Registered(
@@ -105,7 +103,7 @@
             view.configuration.checkClocks()
             socket.readPending()
             if (context.now() >= state.dueAt) {
-                step(GossipEvent.Tick(status()))
+                step(GossipEvent.Tick(ownStatus))
                 refreshLive()
             }
             context.ticker.await()
@@ -116,7 +114,7 @@
     fun announceUpdate(toAll: Boolean) = step(GossipEvent.UpdateLearned(toAll))
 
     /** Asks [peer] for its status, which tells how fresh its configuration is. */
-    fun requestStatus(peer: PeerAddress) = step(GossipEvent.StatusNeeded(peer, status()))
+    fun requestStatus(peer: PeerAddress) = step(GossipEvent.StatusNeeded(peer, ownStatus))
 
     /** Stops receiving status messages. */
     fun stop() = socket.stop()
@@ -125,52 +123,32 @@
 
     override fun inFlight(nameHash: Long): Int = inFlightAtPeers[InFlight.key(nameHash)] ?: 0
 
-    private fun status(): PeerStatus {
-        val now = context.now()
-        return PeerStatus(
+    private val ownStatus: PeerStatus
+        get() = PeerStatus(
             from = context.options.name,
             dataCentre = context.options.dataCentre,
-            stamp = StatusStamp(state.incarnation, now.toEpochMilli()),
+            stamp = StatusStamp(state.incarnation, context.now().toEpochMilli()),
             ready = ready(),
             draining = draining,
-            storeResponseAgeMilliseconds = storeResponseAge(now)?.toMillis(),
+            storeResponseAgeMilliseconds = store.responseAge?.toMillis(),
             configuration = view.configuration.current?.let {
-                ConfigurationFreshness(it.value.version, it.age(now).toMillis() + 1)
+                ConfigurationFreshness(it.value.version, it.age(context.now()).toMillis() + 1)
             },
             digests = view.digests(),
             inFlight = tracker.inFlight(),
             rollouts = rolloutReports(),
             partReports = partReports(),
         )
-    }
 
-    /** Most routers of a large fleet do not call the store; one that has not failed since counts as connected to it. */
-    private fun storeResponseAge(now: Instant): Duration? = lastStoreResponseAt?.let { respondedAt ->
-        val failed = lastStoreFailureAt?.let { it > respondedAt } ?: false
-        if (failed) Duration.between(respondedAt, now) else Duration.ZERO
+    private fun receive(status: PeerStatus, sender: Address) {
+        val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
+        val knowsSame = state.pendingUpdate != null && status.digests == view.digests() &&
+            status.configuration?.version == view.configuration.current?.value?.version
+        step(GossipEvent.StatusReceived(status, address, knowsSame))
+        val isLatest = state.peers[status.from]?.status === status
+        status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
     }
 
-    private fun receive(bytes: ByteArray, sender: Address) {
-        context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
-        context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
-            decodePeerStatus(bytes).fold(
-                success = { status ->
-                    val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
-                    step(GossipEvent.StatusReceived(status, address, state.pendingUpdate != null && knowsSame(status)))
-                    val isLatest = state.peers[status.from]?.status === status
-                    status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
-                },
-                failure = { reason ->
-                    context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
-                },
-            )
-        }
-    }
-
-    /** True if [status] was sent by a router with the same objects as this one. */
-    private fun knowsSame(status: PeerStatus): Boolean =
-        status.configuration?.version == view.configuration.current?.value?.version && status.digests == view.digests()
-
     private fun step(event: GossipEvent) {
         val next: Step<GossipState, GossipAction> = protocol.step(state, event, context.now())
         state = next.state
@@ -179,20 +157,14 @@
 
     private fun perform(action: GossipAction) {
         when (action) {
-            is GossipAction.Send -> send(action.to, action.status, action.echo)
-            is GossipAction.Reply -> send(action.to, status(), action.echo)
+            is GossipAction.Send -> socket.send(action.to, action.status, action.echo)
+            is GossipAction.Reply -> socket.send(action.to, ownStatus, action.echo)
             is GossipAction.ConfirmConfiguration -> confirm(action)
             is GossipAction.MergePartReports -> onPartReports(action.from, action.reports)
             is GossipAction.CompareDigest -> onDigest(action.kindCode, action.digest, action.peer)
         }
     }
 
-    private fun send(to: PeerAddress, status: PeerStatus, echo: StatusStamp?) {
-        val bytes = encoder.encode(status, echo)
-        context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
-        socket.send(Address(to.host, to.port), bytes)
-    }
-
     private fun confirm(action: GossipAction.ConfirmConfiguration) {
         val known = view.configuration.current?.value?.version
         when {
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSocket.kt
@@ -0,0 +1,72 @@
+package comfreypath.router.peers
+
+import com.github.michaelbull.result.fold
+import comfreypath.coordination.fleet.PeerAddress
+import comfreypath.coordination.fleet.PeerStatus
+import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.router.RouterContext
+import comfreypath.transport.Address
+import comfreypath.transport.DatagramSocket
+import kotlinx.coroutines.CoroutineName
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+
+private const val ECHO_FIELD = "\"e\""
+
+/** Sends and receives status messages as datagrams; [onStatus] is called with each one and its sender's address. */
+internal class PeerSocket(
+    private val context: RouterContext,
+    private val onStatus: (PeerStatus, Address) -> Unit,
+) {
+    private val socket = DatagramSocket(context.loop, ::receive)
+    private val encoder = PeerStatusEncoder()
+
+    /** Binds to the router's address for peers. */
+    suspend fun start() = socket.start(context.options.peerAddress)
+
+    /** Receives the messages that have arrived, or else the next ones. */
+    fun readPending() = socket.readPending()
+
+    /** Sends [status] with [echo] as its echo to [peer]. */
+    fun send(peer: PeerAddress, status: PeerStatus, echo: StatusStamp?) {
+        val bytes = encoder.encode(status, echo)
+        context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
+        socket.send(Address(peer.host, peer.port), bytes)
+    }
+
+    /** Closes the socket. */
+    fun stop() = socket.stop()
+
+    private fun receive(bytes: ByteArray, sender: Address) {
+        context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
+        context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
+            decodePeerStatus(bytes).fold(
+                success = { onStatus(it, sender) },
+                failure = { reason ->
+                    context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
+                },
+            )
+        }
+    }
+}
+
+/**
+ * Encodes status messages as JSON.
+ *
+ * The messages that a router sends to its peers at the same time differ only in the echo. The rest is encoded once.
+ */
+internal class PeerStatusEncoder {
+    private var status: PeerStatus? = null
+    private var prefix = ""
+
+    /** Returns [status] with [echo] as JSON in UTF-8; [status] itself has no echo. */
+    fun encode(status: PeerStatus, echo: StatusStamp?): ByteArray {
+        if (status !== this.status) {
+            this.status = status
+            prefix = Json.encodeToString(status).removeSuffix("}")
+        }
+        val last = if (echo == null) "}" else ",$ECHO_FIELD:${Json.encodeToString(echo)}}"
+        return (prefix + last).encodeToByteArray()
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -13,6 +13,7 @@
 import comfreypath.router.rollout.AttemptProbe
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.ResponseActivity
+import comfreypath.router.sending.SendLimits
 import comfreypath.router.sending.SendResult
 import comfreypath.router.sending.Trackers
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -188,9 +189,8 @@
             cacheSource = selection.cacheSource,
             traceParent = exchange.traceParent,
         )
-        val sent = dependencies.sender.send(request, plan, route.repeatable, state.deadline, activity) {
-            callerConnected
-        }
+        val limits = SendLimits(route.repeatable, state.deadline, wanted = { callerConnected })
+        val sent = dependencies.sender.send(request, plan, limits, activity)
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
             is SendResult.Responding -> if (sent.head.genuine) {
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -53,8 +53,8 @@
     }
 
     /**
-     * When the request arrived. On an overloaded instance it may have waited to be read; its caller's close may then wait
-     * too, so that it is given the chance to be read first.
+     * When the request arrived. On an overloaded instance it may have waited to be read. Its caller's close may wait
+     * too, and is read first.
      */
     private suspend fun receivedAt(): Instant {
         val waited = context.ticker.overdue()
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -26,7 +26,6 @@
 import kotlinx.collections.immutable.toPersistentMap
 import java.time.Duration
 
-
 /** More rollouts at once than this are not reported to peers, to bound the size of status messages. */
 private const val MAX_REPORTS = 4
 private const val SETTLING_SECONDS = 3L
@@ -75,13 +74,7 @@
     private fun tick(driver: RolloutDriver) {
         val order = driver.progress.order
         val usable = view.endpoints.forService(order.service).any { it.version == order.target && !it.draining }
-        val rank = ranks.precedingCount(
-            key = "rollout ${order.service}",
-            self = context.options.name,
-            peers = peers.live,
-            statusInterval = peers.statusInterval,
-            now = context.now(),
-        )
+        val rank = ranks.precedingCount("rollout ${order.service}", peers.fleet)
         driver.step(RolloutEvent.Tick(rank, usable))
     }
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -34,6 +34,15 @@
     class Responding(val head: EndpointResponseHead, val exchange: EndpointExchange) : SendResult
 }
 
+/**
+ * When a request may be sent.
+ *
+ * @property repeatable whether the request may be sent on a connection that the endpoint may be closing
+ * @property deadline when the request times out
+ * @property wanted false once the caller has left
+ */
+class SendLimits(val repeatable: Boolean, val deadline: Instant, val wanted: () -> Boolean = { true })
+
 /** Sends requests to endpoints and waits for the response heads. */
 class EndpointSender(
     private val context: RouterContext,
@@ -49,21 +58,16 @@
      */
     private val maxIdleTimeNonRepeatable = Duration.ofMillis(MAX_IDLE_NON_REPEATABLE_MILLISECONDS)
 
-    /**
-     * Sends [request] according to [plan], and waits for the response head until [deadline].
-     *
-     * @param wanted false once the caller has left; a request that was not sent by then is not sent any more
-     */
+    /** Sends [request] according to [plan] within [limits], and waits for the response head. */
     suspend fun send(
         request: CallerRequest,
         plan: SendPlan,
-        repeatable: Boolean,
-        deadline: Instant,
+        limits: SendLimits,
         activity: ResponseActivity,
-        wanted: () -> Boolean = { true },
     ): SendResult {
+        val deadline = limits.deadline
         val address = Address(plan.endpoint.host, plan.endpoint.port)
-        val idleLimit = if (repeatable) maxIdleTime else maxIdleTimeNonRepeatable
+        val idleLimit = if (limits.repeatable) maxIdleTime else maxIdleTimeNonRepeatable
         val connectTimeout = minOf(context.options.timeouts.connect, Duration.between(context.now(), deadline))
         if (connectTimeout.toMillis() <= 0) {
             return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed"))
@@ -71,9 +75,9 @@
         return pool.acquire(address, idleLimit, connectTimeout).fold(
             success = { acquired ->
                 val timeLeft = Duration.between(context.now(), deadline)
-                if (timeLeft.toMillis() <= 0 || !wanted()) {
+                if (timeLeft.toMillis() <= 0 || !limits.wanted()) {
                     pool.release(acquired.connection, maxIdleTime, MAX_UNUSED_CONNECTIONS)
-                    val cause = if (wanted()) "the deadline has passed" else "the caller has left"
+                    val cause = if (limits.wanted()) "the deadline has passed" else "the caller has left"
                     SendResult.Failed(AttemptOutcome.NotSent(cause))
                 } else {
                     exchange(request, plan.copy(timeLeft = timeLeft), acquired.connection, deadline, activity)
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -7,6 +7,7 @@
 import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
+import comfreypath.router.store.StoreReachability
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.launch
@@ -21,6 +22,19 @@
 /** How long requests wait for a read that is to confirm the configuration. */
 private const val MAX_CONFIRMATION_MILLISECONDS = 500L
 
+/**
+ * How a [ConfigurationProbe] renews its confirmation.
+ *
+ * @property ageRange the ages from which it draws the one at which it reads the store in any case
+ * @property next the next step, by the age of the last confirmation and the age drawn
+ * @property askPeer asks a peer for its confirmation
+ */
+class ConfirmationRenewal(
+    val ageRange: () -> ProbeAgeRange,
+    val next: (age: Duration?, maxAge: Duration) -> ConfirmationStep,
+    val askPeer: (PeerAddress) -> Unit,
+)
+
 /**
  * Renews the confirmation that the configuration is current when the last one gets old: by a read, or from a peer.
  *
@@ -33,11 +47,8 @@
     private val store: ObjectStore,
     private val view: ConfigurationView,
     private val sink: ConfigurationSink,
-    private val ageRange: () -> ProbeAgeRange,
-    private val onResponse: () -> Unit,
-    private val onFailure: () -> Unit = {},
-    private val confirmation: (age: Duration?, maxAge: Duration) -> ConfirmationStep = ::readWhenOld,
-    private val askPeer: (PeerAddress) -> Unit = {},
+    private val reachability: StoreReachability,
+    private val renewal: ConfirmationRenewal,
 ) {
     private val random = SplitMix64(context.options.name.text.hashCode().toLong())
     private var pendingRead: PendingRead? = null
@@ -52,7 +63,7 @@
     fun start() {
         context.launchLoop("probe configuration") {
             val maxAge = maxAge ?: drawMaxAge().also { maxAge = it }
-            when (val step = confirmation(view.age(), maxAge)) {
+            when (val step = renewal.next(view.age(), maxAge)) {
                 ConfirmationStep.Wait -> Unit
                 ConfirmationStep.ReadStore -> {
                     this.maxAge = null
@@ -65,7 +76,7 @@
     }
 
     private fun drawMaxAge(): Duration {
-        val range = ageRange()
+        val range = renewal.ageRange()
         val width = range.max.minus(range.min).toMillis()
         return range.min.plusMillis(random.nextLong(width + 1))
     }
@@ -74,7 +85,7 @@
         val now = context.now()
         if (now >= mayAskAt) {
             mayAskAt = now.plusMillis(ASK_INTERVAL_MILLISECONDS)
-            askPeer(peer)
+            renewal.askPeer(peer)
         }
     }
 
@@ -112,12 +123,12 @@
     private suspend fun readConfiguration(startedAt: Instant): Boolean =
         store.read(ObjectKinds.CONFIGURATION, ObjectKinds.CONFIGURATION_NAME).fold(
             success = { stored ->
-                onResponse()
+                reachability.recordResponse(afterOutage = false)
                 stored?.let { sink.update(it, startedAt) }
                 stored != null
             },
             failure = {
-                onFailure()
+                reachability.recordFailure()
                 false
             },
         )
@@ -126,6 +137,3 @@
         val succeeded = CompletableDeferred<Boolean>()
     }
 }
-
-private fun readWhenOld(age: Duration?, maxAge: Duration): ConfirmationStep =
-    if (age == null || age >= maxAge) ConfirmationStep.ReadStore else ConfirmationStep.Wait
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -8,6 +8,7 @@
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoreReachability
 import comfreypath.router.store.StoredObject
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -35,15 +36,13 @@
  * @property peersHeard false until peers have had the time to say which of them watch the store
  * @property maxWait how long a watch may stay open without a change
  * @property fetchFromPeer fetches a snapshot from the given peer, or from any peer that is ahead if null
- * @property onResponse called when the store responded; its argument is true if that ended an outage
- * @property onFailure called when a call to the store failed
+ * @property reachability records the outcomes of the calls
  */
 class FollowerHooks(
     val shouldWatch: () -> Boolean,
     val maxWait: () -> Duration,
     val fetchFromPeer: suspend (PeerAddress?) -> Unit,
-    val onResponse: (afterOutage: Boolean) -> Unit,
-    val onFailure: () -> Unit = {},
+    val reachability: StoreReachability,
     val startsFrom: FirstRead = FirstRead.WATCH,
     val peersHeard: () -> Boolean = { true },
 )
@@ -94,38 +93,35 @@
     /** Starts following in the background. */
     fun start() {
         context.launchLoop("follow ${kind.label}", ::pauseAfterFailure) {
-            when {
-                !hooks.peersHeard() -> readFirst()
-                hooks.shouldWatch() -> {
-                    val from = listedRevision ?: list(allowStale = false)
-                    listedRevision = null
-                    from?.let { watch(it) }
-                    recover()
-                }
-                else -> {
-                    listedRevision = null
-                    failures = 0
-                    unavailableSince = null
-                    context.ticker.await()
-                }
+            val called = callStore()
+            if (unavailable) {
+                hooks.fetchFromPeer(null)
             }
+            if (called) delay(random.backoffMilliseconds(failures)) else context.ticker.await()
         }
     }
 
-    private suspend fun readFirst() {
-        if (hooks.startsFrom == FirstRead.STALE_LIST && listedRevision == null) {
-            listedRevision = list(allowStale = true)
-            recover()
-        } else {
-            context.ticker.await()
-        }
-    }
-
-    private suspend fun recover() {
-        if (unavailable) {
-            hooks.fetchFromPeer(null)
+    /** Lists or watches if it is this router's turn; returns false if it has nothing to do. */
+    private suspend fun callStore(): Boolean {
+        val mayStart = hooks.startsFrom == FirstRead.STALE_LIST && listedRevision == null
+        return when {
+            !hooks.peersHeard() -> {
+                if (mayStart) listedRevision = list(allowStale = true)
+                mayStart
+            }
+            hooks.shouldWatch() -> {
+                val from = listedRevision ?: list(allowStale = false)
+                listedRevision = null
+                from?.let { watch(it) }
+                true
+            }
+            else -> {
+                listedRevision = null
+                failures = 0
+                unavailableSince = null
+                false
+            }
         }
-        delay(random.backoffMilliseconds(failures))
     }
 
     private fun pauseAfterFailure(): Long {
@@ -143,18 +139,14 @@
         val since = behindSince
         when {
             !behind -> if (own != null && own.revision >= theirs.revision) behindSince = null
-            watchJob == null -> catchUp(peer)
+            watchJob == null -> if (fetchJob?.isActive != true) {
+                fetchJob = context.scope.launch { hooks.fetchFromPeer(peer) }
+            }
             since == null -> behindSince = now
             Duration.between(since, now) > MAX_LAG -> reopenWatch("a peer is at revision ${theirs.revision}")
         }
     }
 
-    private fun catchUp(peer: PeerAddress) {
-        if (fetchJob?.isActive != true) {
-            fetchJob = context.scope.launch { hooks.fetchFromPeer(peer) }
-        }
-    }
-
     /** Cancels the watch, so that the objects are listed again on a new connection. */
     fun reopenWatch(reason: String) {
         behindSince = null
@@ -219,7 +211,7 @@
             return null
         }
         failures += 1
-        hooks.onFailure()
+        hooks.reachability.recordFailure()
         if (unavailableSince == null) {
             unavailableSince = context.now()
             context.log.record("store_lost", "kind" to kind.label, "verb" to verb, "error" to error)
@@ -233,7 +225,7 @@
             val milliseconds = Duration.between(it, context.now()).toMillis()
             context.log.record("store_regained", "kind" to kind.label, "afterMs" to milliseconds)
         }
-        hooks.onResponse(unavailable)
+        hooks.reachability.recordResponse(unavailable)
         unavailableSince = null
     }
 }
--- a/router/src/test/kotlin/comfreypath/router/sending/EndpointSenderTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/sending/EndpointSenderTest.kt
@@ -31,6 +31,7 @@
 import strikt.assertions.isLessThan
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.SocketException
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -69,11 +70,15 @@
     )
 
     init {
-        thread(isDaemon = true) {
-            listener.accept().getInputStream().use { input ->
-                while (input.read() >= 0) bytesReceived.incrementAndGet()
-            }
+        thread(isDaemon = true, block = ::countBytes)
+    }
+
+    private fun countBytes() = try {
+        listener.accept().getInputStream().use { input ->
+            while (input.read() >= 0) bytesReceived.incrementAndGet()
         }
+    } catch (closed: SocketException) {
+        check(listener.isClosed) { "the endpoint failed: $closed" }
     }
 
     @AfterEach
@@ -100,7 +105,7 @@
             )
             val plan = SendPlan(endpoint, timeLeft = LONG, team = null, priority = null, lastEventId = null)
             val activity = ResponseActivity(context::now) { }
-            sender.send(request, plan, repeatable = true, now + timeLeft, activity, wanted)
+            sender.send(request, plan, SendLimits(repeatable = true, now + timeLeft, wanted), activity)
         }
     }
 
--- a/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/ConfigurationProbeTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import comfreypath.coordination.fleet.ConfirmationStep
 import comfreypath.coordination.routing.CallerLimits
 import comfreypath.coordination.routing.Configuration
 import comfreypath.router.MonotonicClock
@@ -9,6 +10,7 @@
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ScriptedStore
 import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoreReachability
 import comfreypath.router.store.StoredObject
 import comfreypath.transport.dispatcher
 import kotlinx.collections.immutable.persistentListOf
@@ -46,8 +48,12 @@
         store = ScriptedStore(onRead = read),
         view = view,
         sink = ConfigurationSink(context, view),
-        ageRange = { ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(1)) },
-        onResponse = {},
+        reachability = StoreReachability(clock),
+        renewal = ConfirmationRenewal(
+            ageRange = { ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(1)) },
+            next = { _, _ -> ConfirmationStep.Wait },
+            askPeer = { },
+        ),
     )
 
     private fun stored() = StoredObject(ObjectKinds.CONFIGURATION_NAME, 1, Ok(configuration), document = "{}")
--- a/router/src/test/kotlin/comfreypath/router/view/FailedPassTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/FailedPassTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
+import comfreypath.coordination.fleet.ConfirmationStep
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.router.TestContext
@@ -13,6 +14,7 @@
 import comfreypath.router.store.RouterRecord
 import comfreypath.router.store.ScriptedStore
 import comfreypath.router.store.StoreError
+import comfreypath.router.store.StoreReachability
 import comfreypath.router.store.StoredObject
 import comfreypath.transport.dispatcher
 import kotlinx.coroutines.CompletableDeferred
@@ -79,7 +81,7 @@
             shouldWatch = { true },
             maxWait = { Duration.ofSeconds(1) },
             fetchFromPeer = { },
-            onResponse = { },
+            reachability = StoreReachability(context.clock),
         ),
     ).start()
 
@@ -130,8 +132,13 @@
             },
         )
         val view = ConfigurationView(context)
-        val range = ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(2))
-        val probe = ConfigurationProbe(context, store, view, ConfigurationSink(context, view), { range }, { })
+        val sink = ConfigurationSink(context, view)
+        val renewal = ConfirmationRenewal(
+            ageRange = { ProbeAgeRange(Duration.ofSeconds(1), Duration.ofSeconds(2)) },
+            next = { _, _ -> ConfirmationStep.Wait },
+            askPeer = { },
+        )
+        val probe = ConfigurationProbe(context, store, view, sink, StoreReachability(context.clock), renewal)
         expectThat(probe.probe()).isFalse()
         expectThat(probe.probe()).isFalse()
         expectThat(probe.probe()).isTrue()
--- a/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/DatagramSocket.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.FixedRecvByteBufAllocator
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import java.io.IOException
@@ -56,9 +55,7 @@
     private fun bufferSizes() =
         FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_READ)
 
-    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
-        override fun isSharable(): Boolean = false
-
+    private inner class Receiver : MessageHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -31,7 +30,7 @@
  * data has arrived.
  */
 class HttpConnection internal constructor(private val channel: Channel, val address: Address) :
-    SimpleChannelInboundHandler<HttpObject>() {
+    MessageHandler<HttpObject>() {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
     private var queued = 0
     private var reset = false
@@ -100,8 +99,6 @@
     /** Closes the connection; a response in progress is incomplete. */
     fun close() = abort(AbortReason.CLOSED)
 
-    override fun isSharable(): Boolean = false
-
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) {
             abort(
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -1,7 +1,6 @@
 package comfreypath.transport
 
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpObject
 
 /** The other handlers in the pipeline of a [ServerConnection] that it uses. */
@@ -11,12 +10,10 @@
 internal class ServerConnection(
     private val environment: ServerEnvironment,
     private val pipeline: PipelineHandlers,
-) : SimpleChannelInboundHandler<HttpObject>() {
+) : MessageHandler<HttpObject>() {
     private val aggregator = RequestAggregator({ environment.options().maxBodyBytes }, pipeline.timer)
     private lateinit var requests: RequestQueue
 
-    override fun isSharable(): Boolean = false
-
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, pipeline) {
             if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
