Sum up the loads of a large fleet by relays, and send its status messages less often

Cause: every router of a large fleet sent its status to every other, 40 a second each way, and still knew loads that were 2.4 s old at 95 routers.

Change: beyond 40 peers, a relay in each data centre sums up the loads every 0.5 s, exchanges the sums with the other relays and returns that of the fleet. Status messages carry what remains, every 8 s at 95 routers, as before while they carry evidence on versions or prompt parts. A router that has just started gets a reply from each peer.

Fleets of up to 40 routers exchange what they did.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -109,8 +109,14 @@
         val actions = confirmations(state, status) + comparisons(status, peer.address)
         val reports = status.partReports.takeIf { state.isRecent(status, options, now) }.orEmpty()
         val merge = if (reports.isEmpty()) emptyList() else listOf(GossipAction.MergePartReports(status.from, reports))
-        val reply = if (status.replyRequested) listOf(GossipAction.Reply(peer.address, status.stamp)) else emptyList()
-        return Step(next, actions + merge + reply)
+        // A router that has just started waits for its first message of each peer.
+        val started = peer.status?.stamp?.incarnation != status.stamp.incarnation
+        val replies = if (status.replyRequested || started && options.relaysLoads(next.peers.size)) {
+            listOf(GossipAction.Reply(peer.address, status.stamp))
+        } else {
+            emptyList()
+        }
+        return Step(next, actions + merge + replies)
     }
 
     private fun Peer.lastStatusPrecedes(candidate: PeerStatus): Boolean {
@@ -147,7 +153,9 @@
         val current = state.copy(peers = state.peers.filterValues { !expired(it, now) }.toPersistentMap())
         val known = current.peers.values.map { it.address.endpoint }.toSet()
         val toSeeds = state.seeds.filter { it.endpoint !in known }.map { GossipAction.Send(it, own) }
-        val nextStatusAt = now + options.interval(current.peers.size)
+        val urgent = own.rollouts != null || own.partReports.isNotEmpty()
+        val count = current.peers.size
+        val nextStatusAt = now + if (urgent) options.urgentInterval(count) else options.interval(count)
         return Step(
             state = current.copy(nextStatusAt = nextStatusAt, pendingUpdate = null),
             actions = statuses(current.peers.values, own) + toSeeds,
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/InFlight.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/InFlight.kt
@@ -12,7 +12,17 @@
  */
 @Serializable(with = InFlightSerializer::class)
 data class InFlight(val counts: Map<Int, Int> = emptyMap()) {
+    /** The requests at all endpoints. */
+    val total: Int get() = counts.values.sum()
+
     companion object {
+        /** Adds up the requests of several routers. */
+        fun sum(loads: Collection<InFlight>): InFlight {
+            val sums = HashMap<Int, Int>()
+            loads.forEach { load -> load.counts.forEach { (key, count) -> sums.merge(key, count, Int::plus) } }
+            return InFlight(sums)
+        }
+
         /** Returns the key of an endpoint. */
         fun key(name: EndpointName): Int = key(hashOf(name.text))
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -21,11 +21,13 @@
  *
  * @property maxSilence time without a status message after which a peer is not eligible, if peers send them often; in
  * large fleets, where they don't, two intervals
+ * @property requiresStore false for a duty that does not need the store
  * @property maxStoreResponseAge time without a response from the store after which a peer is not eligible
  */
 class StoreWatcherSelector(
     private val maxSilence: Duration = Duration.ofMillis(MAX_SILENCE_MILLISECONDS),
     private val maxStoreResponseAge: Duration = Duration.ofMillis(MAX_STORE_RESPONSE_AGE_MILLISECONDS),
+    private val requiresStore: Boolean = true,
 ) {
     /** Returns whether this router must watch the objects of the kind with the code [kind]. */
     fun shouldWatch(kind: String, fleet: FleetView): Boolean = precedingCount(kind, fleet.local()) == 0
@@ -34,13 +36,19 @@
     fun precedingCount(key: String, fleet: FleetView): Int = preceding(key, fleet).size
 
     /** Returns the eligible peer of the highest rank for the duty called [key]; null if it is this router. */
-    fun first(key: String, fleet: FleetView): Peer? =
-        preceding(key, fleet).maxByOrNull { rank(key, it.address.name) }
+    fun first(key: String, fleet: FleetView): Peer? = preceding(key, fleet).firstOrNull()
 
-    private fun preceding(key: String, fleet: FleetView): List<Peer> {
-        val silence = maxOf(maxSilence, fleet.statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+    /** Returns the eligible peers of higher rank than this router for the duty called [key], the highest first. */
+    fun preceding(key: String, fleet: FleetView): List<Peer> {
         val ownRank = rank(key, fleet.self)
-        return fleet.peers.filter { isEligible(it, silence, fleet.now) && rank(key, it.address.name) > ownRank }
+        return ranked(key, fleet).takeWhile { rank(key, it.address.name) > ownRank }
+    }
+
+    /** Returns the eligible peers by their rank for the duty called [key], the highest first. */
+    fun ranked(key: String, fleet: FleetView): List<Peer> {
+        val silence = maxOf(maxSilence, fleet.statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+        return fleet.peers.filter { isEligible(it, silence, fleet.now) }
+            .sortedByDescending { rank(key, it.address.name) }
     }
 
     private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
@@ -48,6 +56,6 @@
     private fun isEligible(peer: Peer, silence: Duration, now: Instant): Boolean {
         val live = peer.receivedAt?.let { Duration.between(it, now) <= silence } ?: false
         val storeLive = peer.status?.storeResponseAgeMilliseconds?.let { it <= maxStoreResponseAge.toMillis() } ?: false
-        return live && storeLive && peer.status?.draining == false
+        return live && (storeLive || !requiresStore) && peer.status?.draining == false
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -142,7 +142,7 @@
                 fetchFromPeer = { peer -> fetchFromPeer(peer, kind, sink) },
                 reachability = peers.store,
                 startsFrom = if (kind == ObjectKinds.CONFIGURATION) FirstRead.WATCH else FirstRead.STALE_LIST,
-                peersHeard = { context.now() >= startedAt + PEER_DISCOVERY },
+                peersHeard = { peers.alone || context.now() >= startedAt + PEER_DISCOVERY },
             ),
         )
 
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -186,6 +186,7 @@
     suspend fun stop() {
         stopping = true
         peers.draining = true
+        peers.announceUpdate(toAll = true)
         val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_RESERVE)
         log.record("stopping", "inProgress" to requests.inProgress)
         delay(DRAIN_NOTICE_MILLISECONDS)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -37,7 +37,8 @@
     private val options: GossipOptions,
 ) : LivePeers {
     private val protocol = GossipProtocol(options)
-    private val socket = PeerSocket(context, ::receive)
+    private val socket: PeerSocket = PeerSocket(context, ::receive) { loads.receive(it) }
+    private val loads: PeerLoads = PeerLoads(context) { peer, message -> socket.send(peer, message) }
     private var state = GossipState(
         self = context.options.name,
         incarnation = Random.nextInt(),
@@ -53,6 +54,9 @@
     var live: List<Peer> = emptyList()
         private set
 
+    /** True while this router knows of no other. */
+    val alone: Boolean get() = state.peers.isEmpty() && state.seeds.isEmpty()
+
     /** What this router knows of the others now. */
     val fleet: FleetView
         get() = FleetView(
@@ -106,6 +110,9 @@
                 step(GossipEvent.Tick(ownStatus))
                 refreshLive()
             }
+            if (options.relaysLoads(state.peers.size)) {
+                loads.tick(fleet, tracker::inFlight, state.incarnation)
+            }
             context.ticker.await()
         }
     }
@@ -121,7 +128,10 @@
 
     override val names: Collection<InstanceName> get() = liveNames
 
-    override fun inFlight(nameHash: Long): Int = inFlightAtPeers[InFlight.key(nameHash)] ?: 0
+    override fun inFlight(nameHash: Long): Int {
+        val key = InFlight.key(nameHash)
+        return loads.inFlight(key) ?: inFlightAtPeers[key] ?: 0
+    }
 
     private val ownStatus: PeerStatus
         get() = PeerStatus(
--- /dev/null
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLoads.kt
@@ -0,0 +1,39 @@
+package comfreypath.router.peers
+
+import comfreypath.coordination.fleet.FleetView
+import comfreypath.coordination.fleet.InFlight
+import comfreypath.coordination.fleet.LoadMessage
+import comfreypath.coordination.fleet.LoadRelay
+import comfreypath.coordination.fleet.LoadRelayState
+import comfreypath.coordination.fleet.PeerAddress
+import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.router.RouterContext
+
+/** Exchanges the loads of endpoints in a large fleet; [send] sends a message to a peer. */
+internal class PeerLoads(
+    private val context: RouterContext,
+    private val send: (PeerAddress, LoadMessage) -> Unit,
+) {
+    private val relay = LoadRelay()
+    private var state = LoadRelayState()
+
+    /** Sends the messages that are due; [own] are this router's requests in flight. */
+    fun tick(fleet: FleetView, own: () -> InFlight, incarnation: Int) {
+        if (fleet.now >= state.nextAt) {
+            val step = relay.tick(state, fleet, own(), StatusStamp(incarnation, fleet.now.toEpochMilli()))
+            if (step.state.relay != state.relay) {
+                context.log.record("load_relay_chosen", "relay" to (step.state.relay?.name ?: fleet.self))
+            }
+            state = step.state
+            step.actions.forEach { send(it.to, it.message) }
+        }
+    }
+
+    /** Records a message of a peer. */
+    fun receive(message: LoadMessage) {
+        state = relay.received(state, message, context.options.dataCentre, context.now())
+    }
+
+    /** The requests of the peers at the endpoint with [key]; null while it is not known. */
+    fun inFlight(key: Int): Int? = relay.atPeers(state, key, context.now())
+}
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
@@ -4,18 +4,20 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import comfreypath.coordination.fleet.LoadMessage
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.transport.decodeJson
 import java.time.Duration
 
+private const val MAX_IN_FLIGHT = 1_000_000
 private const val MAX_AGE_DAYS = 36_500L
 
 /** The ages that a peer may report, in milliseconds. Much larger ones would overflow when subtracted from a time. */
 private val AGES = 0L..Duration.ofDays(MAX_AGE_DAYS).toMillis()
 
 /** Decodes a status message of a peer; the error is a text for the log. */
-internal fun decodePeerStatus(bytes: ByteArray): Result<PeerStatus, String> =
-    decodeJson<PeerStatus>(bytes.decodeToString()).andThen { status ->
+internal fun decodePeerStatus(text: String): Result<PeerStatus, String> =
+    decodeJson<PeerStatus>(text).andThen { status ->
         val ages = listOfNotNull(status.storeResponseAgeMilliseconds, status.configuration?.ageMilliseconds)
         when {
             ages.any { it !in AGES } -> Err("an age is out of range")
@@ -24,6 +26,13 @@
         }
     }
 
+/** Decodes a message of loads, without its prefix; the error is a text for the log. */
+internal fun decodeLoadMessage(text: String): Result<LoadMessage, String> =
+    decodeJson<LoadMessage>(text).andThen { message ->
+        val valid = message.inFlight.counts.values.all { it in 0..MAX_IN_FLIGHT }
+        if (valid) Ok(message) else Err("a count is out of range")
+    }
+
 /** Decodes a snapshot or delta of a peer; the error is a text for the log. */
 internal fun decodeKindSnapshot(text: String): Result<KindSnapshot, String> =
     decodeJson<KindSnapshot>(text).andThen { snapshot ->
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSocket.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSocket.kt
@@ -1,6 +1,8 @@
 package comfreypath.router.peers
 
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onErr
+import comfreypath.coordination.fleet.LoadMessage
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
@@ -14,13 +16,21 @@
 
 private const val ECHO_FIELD = "\"e\""
 
-/** Sends and receives status messages as datagrams; [onStatus] is called with each one and its sender's address. */
+/** The first byte of a message of loads. Status messages are JSON objects. */
+private const val LOAD_PREFIX = "L"
+
+/**
+ * Sends and receives messages between routers as datagrams. [onStatus] is called with each status message and its
+ * sender's address, [onLoad] with each message of loads.
+ */
 internal class PeerSocket(
     private val context: RouterContext,
     private val onStatus: (PeerStatus, Address) -> Unit,
+    private val onLoad: (LoadMessage) -> Unit,
 ) {
     private val socket = DatagramSocket(context.loop, ::receive)
     private val encoder = PeerStatusEncoder()
+    private val loadEncoder = LoadMessageEncoder()
 
     /** Binds to the router's address for peers. */
     suspend fun start() = socket.start(context.options.peerAddress)
@@ -29,8 +39,12 @@
     fun readPending() = socket.readPending()
 
     /** Sends [status] with [echo] as its echo to [peer]. */
-    fun send(peer: PeerAddress, status: PeerStatus, echo: StatusStamp?) {
-        val bytes = encoder.encode(status, echo)
+    fun send(peer: PeerAddress, status: PeerStatus, echo: StatusStamp?) = send(peer, encoder.encode(status, echo))
+
+    /** Sends [message] to [peer]. */
+    fun send(peer: PeerAddress, message: LoadMessage) = send(peer, loadEncoder.encode(message))
+
+    private fun send(peer: PeerAddress, bytes: ByteArray) {
         context.metrics.controlBytes.labelValues("sent").inc(bytes.size.toDouble())
         socket.send(Address(peer.host, peer.port), bytes)
     }
@@ -41,12 +55,15 @@
     private fun receive(bytes: ByteArray, sender: Address) {
         context.metrics.controlBytes.labelValues("received").inc(bytes.size.toDouble())
         context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
-            decodePeerStatus(bytes).fold(
-                success = { onStatus(it, sender) },
-                failure = { reason ->
-                    context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
-                },
-            )
+            val text = bytes.decodeToString()
+            val handled = if (text.startsWith(LOAD_PREFIX)) {
+                decodeLoadMessage(text.removePrefix(LOAD_PREFIX)).map(onLoad)
+            } else {
+                decodePeerStatus(text).map { onStatus(it, sender) }
+            }
+            handled.onErr { reason ->
+                context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
+            }
         }
     }
 }
@@ -70,3 +87,18 @@
         return (prefix + last).encodeToByteArray()
     }
 }
+
+/** Encodes messages of loads. A relay sends the same message to many routers; it is encoded once. */
+internal class LoadMessageEncoder {
+    private var message: LoadMessage? = null
+    private var bytes = ByteArray(0)
+
+    /** Returns [message] in UTF-8. */
+    fun encode(message: LoadMessage): ByteArray {
+        if (message !== this.message) {
+            this.message = message
+            bytes = (LOAD_PREFIX + Json.encodeToString(message)).encodeToByteArray()
+        }
+        return bytes
+    }
+}
--- a/router/src/test/kotlin/comfreypath/router/peers/PeerMessagesTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/peers/PeerMessagesTest.kt
@@ -36,7 +36,7 @@
         "null", "\"\"", "\"-1:-1\"", "\"1y2p0ij32e8e7:1y2p0ij32e8e7\"", "[]", deep, """{"a":$deep}""",
     )
 
-    private fun decodedStatus(text: String) = decodePeerStatus(text.encodeToByteArray()).fold({ it }, { null })
+    private fun decodedStatus(text: String) = decodePeerStatus(text).fold({ it }, { null })
 
     private fun decodedSnapshot(text: String) = decodeKindSnapshot(text).fold({ it }, { null })
 
