--- a/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
+++ b/measure/src/main/kotlin/comfreypath/measure/ControlTraffic.kt
@@ -1,6 +1,7 @@
 package comfreypath.measure
 
 import comfreypath.coordination.fleet.ConfigurationFreshness
+import comfreypath.coordination.fleet.FleetView
 import comfreypath.coordination.fleet.GossipAction
 import comfreypath.coordination.fleet.GossipEvent
 import comfreypath.coordination.fleet.GossipOptions
@@ -8,6 +9,8 @@
 import comfreypath.coordination.fleet.GossipState
 import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.fleet.KindDigest
+import comfreypath.coordination.fleet.LoadRelay
+import comfreypath.coordination.fleet.LoadRelayState
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
@@ -36,7 +39,9 @@
  */
 internal class ControlTraffic(private val options: MeasureOptions) {
     private val simulation = Simulation(options.seed)
-    private val protocol = GossipProtocol(GossipOptions())
+    private val gossipOptions = GossipOptions()
+    private val protocol = GossipProtocol(gossipOptions)
+    private val relay = LoadRelay()
     private val addresses = (1..options.routers).map { number ->
         val dataCentre = DataCentreName("data-centre-${number % DATA_CENTRE_COUNT + 1}")
         PeerAddress(
@@ -47,6 +52,7 @@
         )
     }
     private val states = addresses.associate { it.name to GossipState(it.name, it.name.hashCode()) }.toMutableMap()
+    private val loads = addresses.associate { it.name to LoadRelayState() }.toMutableMap()
     private val bytes = HashMap<InstanceName, Long>()
 
     fun run(): MeasureReport {
@@ -56,6 +62,7 @@
             simulation.after(start) {
                 simulation.every(Duration.ofMillis(TICK_MILLISECONDS)) {
                     step(address, GossipEvent.Tick(statusMessage(address)))
+                    exchangeLoads(address)
                     true
                 }
             }
@@ -83,6 +90,33 @@
         )
     }
 
+    private fun exchangeLoads(address: PeerAddress) {
+        val state = loads.getValue(address.name)
+        val known = states.getValue(address.name)
+        val now = simulation.instant()
+        if (now < state.nextAt || !gossipOptions.relaysLoads(known.peers.size)) {
+            return
+        }
+        val interval = gossipOptions.interval(known.peers.size)
+        val fleet = FleetView(address.name, address.dataCentre, known.livePeers(gossipOptions, now), interval, now)
+        val status = statusMessage(address)
+        val next = relay.tick(state, fleet, status.inFlight, status.stamp)
+        loads[address.name] = next.state
+        next.actions.forEach { send ->
+            count(address, send.to, Json.encodeToString(send.message).length)
+            simulation.after(Duration.ofMillis(1)) {
+                val before = loads.getValue(send.to.name)
+                loads[send.to.name] = relay.received(before, send.message, send.to.dataCentre, simulation.instant())
+            }
+        }
+    }
+
+    private fun count(from: PeerAddress, to: PeerAddress, size: Int) {
+        val total = (size + DATAGRAM_HEADER_BYTES).toLong()
+        bytes.merge(from.name, total, Long::plus)
+        bytes.merge(to.name, total, Long::plus)
+    }
+
     private fun statusMessage(address: PeerAddress) = PeerStatus(
         from = address.name,
         dataCentre = address.dataCentre,
@@ -98,9 +132,7 @@
         states[address.name] = next.state
         next.actions.filterIsInstance<GossipAction.Send>().forEach { send ->
             val sent = send.status.copy(echo = send.echo)
-            val size = Json.encodeToString(sent).length + DATAGRAM_HEADER_BYTES
-            bytes.merge(address.name, size.toLong(), Long::plus)
-            bytes.merge(send.to.name, size.toLong(), Long::plus)
+            count(address, send.to, Json.encodeToString(sent).length)
             simulation.after(Duration.ofMillis(1)) { step(send.to, GossipEvent.StatusReceived(sent, address)) }
         }
     }
