Refresh the live peers twice a second, whatever the interval of status messages

The list of live peers was renewed only when a status message was sent, every 8 s at 95 routers since the load relays. A router that had just started could take itself for the only one of its data centre for that long.

--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -26,8 +26,12 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
 import kotlinx.collections.immutable.toImmutableList
+import java.time.Instant
 import kotlin.random.Random
 
+/** Shorter than the time in which a router that has started hears from its peers. */
+private const val REFRESH_INTERVAL_MILLISECONDS = 500L
+
 /** Exchanges status messages with the other routers, and tracks which of them are live. */
 class PeerGossip(
     private val context: RouterContext,
@@ -49,6 +53,7 @@
     )
     private var inFlightAtPeers: Map<Int, Int> = emptyMap()
     private var liveNames: Set<InstanceName> = emptySet()
+    private var refreshAt = Instant.MIN
 
     /** The live peers: those whose status messages arrive. */
     var live: List<Peer> = emptyList()
@@ -108,6 +113,8 @@
             socket.readPending()
             if (context.now() >= state.dueAt) {
                 step(GossipEvent.Tick(ownStatus))
+            }
+            if (context.now() >= refreshAt) {
                 refreshLive()
             }
             if (options.relaysLoads(state.peers.size)) {
@@ -185,6 +192,7 @@
     }
 
     private fun refreshLive() {
+        refreshAt = context.now().plusMillis(REFRESH_INTERVAL_MILLISECONDS)
         live = state.livePeers(options, context.now())
         val names = live.map { it.address.name }.toSet()
         (names - liveNames).forEach { context.log.record("peer_heard", "peer" to it) }
