Rank peers without sorting them for each decision

Each follower asks ten times a second whether it is to watch the store. Since first() and preceding() came, that sorted the peers and hashed names in each comparison.

Change: names are hashed once; the rank is compared first and rules out most peers; only the relays' rare decisions sort.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.placement.hashOf
 import java.time.Duration
 import java.time.Instant
 
@@ -21,6 +22,9 @@
     val statusInterval: Duration,
     val now: Instant,
 ) {
+    /** Hash of this router's name. */
+    val selfHash: Long = hashOf(self.text)
+
     /** The same, without the peers in other data centres. */
     fun local(): FleetView = copy(peers = peers.filter { it.address.dataCentre == dataCentre })
 }
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -17,6 +17,9 @@
  * @property port UDP port
  */
 data class PeerAddress(val name: InstanceName, val host: String, val port: Int, val dataCentre: DataCentreName) {
+    /** Hash of the name. */
+    val nameHash: Long = hashOf(name.text)
+
     /** `host:port`. */
     val endpoint: String get() = "$host:$port"
 }
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreWatcherSelector.kt
@@ -1,10 +1,7 @@
 package comfreypath.coordination.fleet
 
-import comfreypath.coordination.model.InstanceName
-import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.placement.mix
 import java.time.Duration
-import java.time.Instant
 
 private const val MAX_SILENCE_MILLISECONDS = 1_500L
 private const val MAX_SILENT_INTERVALS = 2L
@@ -30,31 +27,33 @@
     private val requiresStore: Boolean = true,
 ) {
     /** Returns whether this router must watch the objects of the kind with the code [kind]. */
-    fun shouldWatch(kind: String, fleet: FleetView): Boolean = precedingCount(kind, fleet.local()) == 0
+    fun shouldWatch(kind: String, fleet: FleetView): Boolean =
+        fleet.peers.none { it.address.dataCentre == fleet.dataCentre && precedes(it, kind, fleet) }
 
     /** Returns the number of eligible peers of higher rank than this router for the duty called [key]. */
-    fun precedingCount(key: String, fleet: FleetView): Int = preceding(key, fleet).size
+    fun precedingCount(key: String, fleet: FleetView): Int = fleet.peers.count { precedes(it, key, fleet) }
 
     /** Returns the eligible peer of the highest rank for the duty called [key]; null if it is this router. */
-    fun first(key: String, fleet: FleetView): Peer? = preceding(key, fleet).firstOrNull()
+    fun first(key: String, fleet: FleetView): Peer? =
+        fleet.peers.filter { precedes(it, key, fleet) }.maxByOrNull { rank(key, it.address.nameHash) }
 
     /** Returns the eligible peers of higher rank than this router for the duty called [key], the highest first. */
-    fun preceding(key: String, fleet: FleetView): List<Peer> {
-        val ownRank = rank(key, fleet.self)
-        return ranked(key, fleet).takeWhile { rank(key, it.address.name) > ownRank }
-    }
+    fun preceding(key: String, fleet: FleetView): List<Peer> =
+        ranked(key, fleet).takeWhile { rank(key, it.address.nameHash) > rank(key, fleet.selfHash) }
 
     /** Returns the eligible peers by their rank for the duty called [key], the highest first. */
-    fun ranked(key: String, fleet: FleetView): List<Peer> {
-        val silence = maxOf(maxSilence, fleet.statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
-        return fleet.peers.filter { isEligible(it, silence, fleet.now) }
-            .sortedByDescending { rank(key, it.address.name) }
-    }
+    fun ranked(key: String, fleet: FleetView): List<Peer> =
+        fleet.peers.filter { isEligible(it, fleet) }.sortedByDescending { rank(key, it.address.nameHash) }
 
-    private fun rank(kind: String, name: InstanceName): Long = mix(hashOf(kind), hashOf(name.text))
+    // The rank is compared first: it rules out most peers, and is a few instructions.
+    private fun precedes(peer: Peer, key: String, fleet: FleetView): Boolean =
+        rank(key, peer.address.nameHash) > rank(key, fleet.selfHash) && isEligible(peer, fleet)
 
-    private fun isEligible(peer: Peer, silence: Duration, now: Instant): Boolean {
-        val live = peer.receivedAt?.let { Duration.between(it, now) <= silence } ?: false
+    private fun rank(key: String, nameHash: Long): Long = mix(key.hashCode().toLong(), nameHash)
+
+    private fun isEligible(peer: Peer, fleet: FleetView): Boolean {
+        val silence = maxOf(maxSilence, fleet.statusInterval.multipliedBy(MAX_SILENT_INTERVALS))
+        val live = peer.receivedAt?.let { Duration.between(it, fleet.now) <= silence } ?: false
         val storeLive = peer.status?.storeResponseAgeMilliseconds?.let { it <= maxStoreResponseAge.toMillis() } ?: false
         return live && (storeLive || !requiresStore) && peer.status?.draining == false
     }
