--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -10,8 +10,8 @@
 public final class Case1 {
     private static final int SERVERS = 6;
     private static final int BOOKINGS = 6;
-    /** Below max_body_bytes, 4,194,304. */
-    private static final int SIZE = 4_000_000;
+    /** The limit, max_body_bytes. */
+    private static final int SIZE = 4_194_304;
 
     private Case1() {
     }
--- a/review/1/Server1.java
+++ b/review/1/Server1.java
@@ -12,6 +12,8 @@
     /** How long the server works between the halves of its answer. */
     static final int WORK_MS = 1_000;
     private static final int LONG = 1_000_000;
+    /** "Links have [...] small windows" (DEPLOY.md). */
+    private static final int WINDOW = 65_536;
 
     private Server1() {
     }
@@ -25,7 +27,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
-        Backend server = new Backend(null, arguments[0], "booking-app", arguments[1], arguments[2], 0) {
+        Backend server = new Backend(null, arguments[0], "booking-app", arguments[1], arguments[2], WINDOW) {
             @Override
             void arrived(String request, byte[] body) {
                 System.out.println("run " + id + " " + request + " " + body.length + "B");
--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -95,9 +95,12 @@
         if (Rig.TROUBLE) {
             for (Backend server : leaving) {
                 server.state = "draining";
-                long revision = store.put("servers", server.id, server.entry());
+                store.put("servers", server.id, server.entry());
                 drainingAt.put(server.id, rig.now());
-                rig.record("draining", server.id, "at revision", revision);
+            }
+            for (Backend server : leaving) {
+                rig.record("draining", server.id, "at", drainingAt.get(server.id), "ms, revision",
+                    store.revisionOf("servers", server.id));
                 Rig.daemon("exit", () -> {
                     Rig.sleep(SERVES_ON_MS);
                     rig.record("exit", server.id);
--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -80,13 +80,15 @@
         }
         Rig.sleep(4_000);
         if (Rig.TROUBLE) {
-            for (int i = 0; i < LEAVING; i++) {
-                Backend server = servers.get(i);
-                long revision = store.remove("servers", server.id);
+            List<Backend> leaving = servers.subList(0, LEAVING);
+            for (Backend server : leaving) {
+                store.remove("servers", server.id);
                 goneAt.put(server.id, rig.now());
-                rig.record("removed", server.id, "at revision", revision);
+            }
+            for (Backend server : leaving) {
+                rig.record("removed", server.id, "at", goneAt.get(server.id), "ms");
                 Rig.daemon("exit", () -> {
-                    Rig.sleep(SERVES_ON_MS);
+                    Rig.sleep(goneAt.get(server.id) + SERVES_ON_MS - rig.now());
                     rig.record("exit", server.id);
                     server.exit();
                 });
