Abort the response of a connection whose request could not be written

Cause: while a write waits, the event loop tries it before it reads. It fails with the reset; the channel then closes itself without an error to its handlers, and the end of the connection completed the answer. The write's failure was ignored.

Why it works: the failure of the write is reported before the channel becomes inactive, and an aborted response ignores what the decoder makes of the end of the connection.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -55,7 +55,12 @@
     /** True until the connection has closed. */
     val open: Boolean get() = channel.isActive
 
-    /** Sends a complete request; returns false if the connection is already closed, so that nothing is sent. */
+    /**
+     * Sends a complete request; returns false if the connection is already closed, so that nothing is sent.
+     *
+     * A failed write aborts the response. The channel closes itself then without reading on, so that the reset behind
+     * the failure would look like the regular end of a response without a length.
+     */
     fun send(head: RequestHead, body: ByteArray): Boolean {
         if (!channel.isActive) {
             return false
@@ -75,7 +80,10 @@
             message.headers().remove("content-length")
         }
         writing = true
-        channel.writeAndFlush(message).addListener { writing = false }
+        channel.writeAndFlush(message).addListener { write ->
+            writing = false
+            if (!write.isSuccess) abort(AbortReason.RESET)
+        }
         return true
     }
 
--- a/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/HttpConnectionTest.kt
@@ -51,10 +51,13 @@
     private fun serve(respond: (Socket) -> Unit) = responses.put(respond)
 
     /** The parts received after one request, up to the end of the response or the abort of the connection. */
-    private fun receive(withinMilliseconds: Long = 60_000): List<ResponsePart> = runBlocking {
+    private fun receive(
+        withinMilliseconds: Long = 60_000,
+        body: ByteArray = ByteArray(0),
+    ): List<ResponsePart> = runBlocking {
         withContext(loop.dispatcher()) {
             val connection = connect()
-            connection.send(head(HttpMethod.GET), ByteArray(0))
+            connection.send(head(if (body.isEmpty()) HttpMethod.GET else HttpMethod.POST), body)
             val parts = ArrayList<ResponsePart>()
             try {
                 withTimeout(withinMilliseconds) {
@@ -128,6 +131,20 @@
         expectThat(receive().last()).isEqualTo(ResponsePart.Aborted(AbortReason.RESET))
     }
 
+    /** A write that waits fails before the reset can be read, and no more can be read after that. */
+    @Test
+    fun `a response without a length is aborted when the reset meets a request that is still being written`() {
+        serve { socket ->
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\n\r\nhel".encodeToByteArray())
+            Thread.sleep(50)
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+        val parts = receive(body = ByteArray(LONG_BODY_BYTES))
+        expectThat(parts.first()).isA<ResponsePart.Head>()
+        expectThat(parts.last()).isEqualTo(ResponsePart.Aborted(AbortReason.RESET))
+    }
+
     @Test
     fun `a response without a length that is reset anywhere never counts as complete`() {
         val response = "HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\n\r\nhello"
