Hash the digest of stored objects so that simultaneous changes do not cancel out

Cause: the digest that routers compare was the hash code of a map, the sum of name xor revision over its entries. Two entries that change together often change the sum by amounts that cancel out, and a router that doesn't watch the store fetches a peer's changes only if the digests differ.

Other hashes that routers compare were read: ranks and placement already mix their inputs.

Why it works: each entry is mixed to 64 well-distributed bits before the sum, so that two states share a digest with a probability of 2^-32, whatever their names and revisions. The message keeps its size. Routers of both versions in one fleet fetch full copies from each other until all are replaced.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -3,6 +3,8 @@
 import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
+import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.placement.mix
 import comfreypath.coordination.rollout.RolloutReports
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -66,4 +68,12 @@
  * @property hash hash of the objects' names and revisions
  */
 @Serializable(with = KindDigestSerializer::class)
-data class KindDigest(val revision: Long, val hash: Int)
+data class KindDigest(val revision: Long, val hash: Int) {
+    companion object {
+        /** The digest at [revision] of objects that were last changed at [revisions], by name. */
+        fun of(revision: Long, revisions: Map<String, Long>) =
+            KindDigest(revision, hash = foldToInt(revisions.entries.sumOf { (name, at) -> mix(hashOf(name), at) }))
+
+        private fun foldToInt(hash: Long): Int = (hash xor (hash ushr Int.SIZE_BITS)).toInt()
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -38,7 +38,7 @@
 
     /** The digest of all objects; null before the first list. */
     override val digest: KindDigest?
-        get() = lastDigest ?: confirmedAt?.let { KindDigest(revision, revisions.hashCode()) }.also { lastDigest = it }
+        get() = lastDigest ?: confirmedAt?.let { KindDigest.of(revision, revisions) }.also { lastDigest = it }
 
     /** The store revision of the last change of the object called [name]; null if it is not known. */
     fun revisionOf(name: String): Long? = revisions[name]
--- a/router/src/test/kotlin/comfreypath/router/view/KindViewTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/view/KindViewTest.kt
@@ -14,6 +14,7 @@
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.time.Instant
@@ -89,6 +90,25 @@
         expectThat(watching.digest).isEqualTo(listing.digest)
     }
 
+    /** Routers that don't watch the store fetch a change only if the digest differs. */
+    @Test
+    fun `two objects that change together never keep the digest`() {
+        val random = Random(seed = 4)
+        repeat(FLEETS) {
+            val names = List(FLEET_SIZE) { "i-%08x".format(random.nextInt()) }
+            val objects = names.mapIndexed { index, name -> stored(name, revision = index + 10L) }
+            val before = view().apply { replace(objects, revision = 40, now) }.digest?.hash
+            names.forEachIndexed { index, first ->
+                names.drop(index + 1).forEach { second ->
+                    val view = view()
+                    view.replace(objects, revision = 40, now)
+                    view.apply(listOf(changed(first, 41), changed(second, 42)), 42, now)
+                    expectThat(view.digest?.hash).describedAs("$first and $second changed").isNotEqualTo(before)
+                }
+            }
+        }
+    }
+
     private fun replay(random: Random) {
         val store = sortedMapOf<String, Long>()
         val source = view()
@@ -136,5 +156,7 @@
         const val RUNS = 200
         const val STEPS = 60
         const val NAMES = 6
+        const val FLEETS = 20
+        const val FLEET_SIZE = 16
     }
 }
