Keep endpoints without an entry only after an outage that routers have noticed

Cause: a removal of three endpoints and a quarter of all counted as the trace of a store outage that this router had missed. An operator who takes servers away looks the same. Related: one failed call, such as a watch that was cut off, counted as an outage too.

Change: the size of a removal no longer counts. Routers report to peers for how long their calls to the store have failed; a second or more is an outage, and reports of peers are believed from two data centres. Status messages grow only while calls fail.

The test that demanded a grace period without an outage was wrong, since it demands what the rule forbids; it is replaced by tests of both sides: all endpoints stay in use in an outage, none without one.

Why it works: leases expire only if the store is away for longer than two heartbeats, in which routers call it.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
@@ -25,6 +25,9 @@
     /** Hash of this router's name. */
     val selfHash: Long = hashOf(self.text)
 
+    /** Number of data centres that have routers. */
+    val dataCentreCount: Int get() = peers.map { it.address.dataCentre }.plus(dataCentre).distinct().size
+
     /** The same, without the peers in other data centres. */
     fun local(): FleetView = copy(peers = peers.filter { it.address.dataCentre == dataCentre })
 }
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -26,6 +26,8 @@
  * @property rollouts the sender's reports on open rollouts; null if there are none
  * @property replyRequested true if the receiver is to reply at once with its own status
  * @property partReports prompt parts that may crash endpoints
+ * @property storeFailingMilliseconds time for which the sender's calls to the store have failed without a response, 0
+ * after a response
  */
 @Serializable
 data class PeerStatus(
@@ -42,6 +44,7 @@
     @SerialName("o") val rollouts: RolloutReports? = null,
     @SerialName("q") val replyRequested: Boolean = false,
     @SerialName("p") val partReports: List<PartReport> = emptyList(),
+    @SerialName("u") val storeFailingMilliseconds: Long = 0,
 )
 
 /**
--- /dev/null
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -0,0 +1,64 @@
+package comfreypath.coordination.fleet
+
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import java.time.Duration
+import java.time.Instant
+
+/** Shorter failures are single calls that were cut off or refused; leases outlive them. */
+private const val MIN_OUTAGE_MILLISECONDS = 1_000L
+private const val MAX_REPORT_AGE_SECONDS = 10L
+private const val MIN_DATA_CENTRES = 2
+
+/**
+ * Outages of the store, as routers report them: this router by its own calls, the others in their status messages.
+ *
+ * Answers the load in which many leases of live endpoints expire at once because the store was away, and most routers
+ * did not call it meanwhile. A router that is cut off from a sound store reports an outage too, and so do the others in
+ * its data centre; peers are therefore believed only if they are in two data centres.
+ *
+ * @property self this router
+ * @property failing the routers whose calls still fail, with the time of their last report
+ * @property ended the routers whose calls have failed, with the time at which they reported a response again
+ */
+data class StoreOutages(
+    val self: InstanceName,
+    private val failing: PersistentMap<ReportingRouter, Instant> = persistentMapOf(),
+    private val ended: PersistentMap<ReportingRouter, Instant> = persistentMapOf(),
+) {
+    /** A router that reports outages. */
+    data class ReportingRouter(val name: InstanceName, val dataCentre: DataCentreName)
+
+    /** Records that the calls of [router] have failed for [failingFor], which is zero after a response. */
+    fun reported(router: ReportingRouter, failingFor: Duration, now: Instant): StoreOutages = when {
+        failingFor >= minOutage -> copy(failing = failing.put(router, now))
+        router in failing -> copy(failing = failing.remove(router), ended = ended.put(router, now)).pruned(now)
+        else -> this
+    }
+
+    private fun pruned(now: Instant) =
+        copy(failing = failing.withoutOld(now), ended = ended.withoutOld(now))
+
+    private fun PersistentMap<ReportingRouter, Instant>.withoutOld(now: Instant) =
+        entries.filter { Duration.between(it.value, now) > maxReportAge }.fold(this) { map, old -> map.remove(old.key) }
+
+    /**
+     * The time of the last outage: [now] if it goes on, else the time at which the last reporting router had a response
+     * again; null if there was none. [dataCentres] is the number of data centres that have routers.
+     */
+    fun lastAt(now: Instant, dataCentres: Int): Instant? {
+        val current = pruned(now)
+        val ongoing = current.failing.mapValues { now }
+        val all = current.ended + ongoing
+        val own = all.filterKeys { it.name == self }
+        val believed = all.keys.map { it.dataCentre }.distinct().size >= minOf(MIN_DATA_CENTRES, dataCentres)
+        return (if (believed) all else own).values.maxOrNull()
+    }
+
+    private companion object {
+        val minOutage: Duration = Duration.ofMillis(MIN_OUTAGE_MILLISECONDS)
+        val maxReportAge: Duration = Duration.ofSeconds(MAX_REPORT_AGE_SECONDS)
+    }
+}
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
@@ -7,8 +7,6 @@
 import java.time.Instant
 
 private const val REREGISTRATION_MILLISECONDS = 2_200L
-private const val MASS_REMOVAL_SHARE = 0.25
-private const val MASS_REMOVAL_ENDPOINTS = 3
 
 /**
  * Endpoints that stay in use for a grace period although their store entries have expired.
@@ -24,8 +22,8 @@
  * Decides which endpoints stay in use for a grace period after their store entries were removed.
  *
  * Leases expire during a store outage, and live servers register again within about two seconds after it. Without the
- * grace period a service would have no endpoint in that time. The router itself may not notice the outage; it then sees
- * many entries of endpoints that were not draining disappear at once.
+ * grace period a service would have no endpoint in that time. Without an outage, a removed endpoint is leaving, however
+ * many others leave with it.
  */
 object RemovalPolicy {
     /** How long live servers may take to register again after a store outage. */
@@ -34,24 +32,18 @@
     /**
      * Applies a change of the entries from [before] to [after] at [now].
      *
-     * @param storeRecoveredAt the end of the last store outage that this router noticed; null if there was none
+     * @param storeOutageAt the time of the last store outage, [now] if it goes on; null if there was none
      */
     fun update(
         state: RemovalGrace,
         before: Map<EndpointName, Endpoint>,
         after: Map<EndpointName, Endpoint>,
-        storeRecoveredAt: Instant?,
+        storeOutageAt: Instant?,
         now: Instant,
     ): RemovalGrace {
         val kept = state.expiresAt.filter { (endpoint, expiresAt) -> now < expiresAt && endpoint.name !in after }
         val removed = before.values.filter { it.name !in after && !it.draining }
-        val recoveredAt = storeRecoveredAt?.takeIf { now < it + reregistrationTime }
-        val massRemoval = removed.size >= maxOf(MASS_REMOVAL_ENDPOINTS.toDouble(), before.size * MASS_REMOVAL_SHARE)
-        val expiresAt = when {
-            recoveredAt != null -> recoveredAt + reregistrationTime
-            massRemoval -> now + reregistrationTime
-            else -> null
-        }
+        val expiresAt = storeOutageAt?.plus(reregistrationTime)?.takeIf { now < it }
         val added = if (expiresAt == null) emptyMap() else removed.associateWith { expiresAt }
         return RemovalGrace(persistentMapOf<Endpoint, Instant>().putAll(kept + added))
     }
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
@@ -63,6 +63,12 @@
             .isEqualTo(text.dropLast(1) + ""","p":["10:a.z::"]}""")
     }
 
+    @Test
+    fun `the time for which the store has failed is added as this text`() {
+        expectThat(Json.encodeToString(status.copy(storeFailingMilliseconds = 1_500)))
+            .isEqualTo(text.dropLast(1) + ""","u":1500}""")
+    }
+
     @Test
     fun `fields with their default value are omitted`() {
         val idle = PeerStatus(InstanceName("front-1"), DataCentreName("south-a"), StatusStamp(0, 0))
--- /dev/null
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
@@ -0,0 +1,61 @@
+package comfreypath.coordination.fleet
+
+import comfreypath.coordination.fleet.StoreOutages.ReportingRouter
+import comfreypath.coordination.model.DataCentreName
+import comfreypath.coordination.model.InstanceName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.time.Duration
+import java.time.Instant
+
+class StoreOutagesTest {
+    private val now = Instant.ofEpochSecond(1_000)
+    private val self = ReportingRouter(InstanceName("self"), DataCentreName("a"))
+    private val peerInA = ReportingRouter(InstanceName("peer-a"), DataCentreName("a"))
+    private val peerInB = ReportingRouter(InstanceName("peer-b"), DataCentreName("b"))
+    private val none = StoreOutages(self.name)
+    private val long = Duration.ofMillis(1_500)
+
+    private fun StoreOutages.last(at: Instant, dataCentres: Int = 3) = lastAt(at, dataCentres)
+
+    @Test
+    fun `calls of this router that fail for a second are an outage until the next response`() {
+        val failing = none.reported(self, long, now)
+        expectThat(failing.last(now.plusMillis(700))).isEqualTo(now.plusMillis(700))
+        val recovered = failing.reported(self, Duration.ZERO, now.plusMillis(700))
+        expectThat(recovered.last(now.plusMillis(900))).isEqualTo(now.plusMillis(700))
+    }
+
+    @Test
+    fun `a watch that was cut off is no outage`() {
+        val cutOff = none.reported(self, Duration.ofMillis(300), now)
+        expectThat(cutOff.reported(self, Duration.ZERO, now.plusMillis(50)).last(now.plusMillis(60))).isNull()
+    }
+
+    @Test
+    fun `a router that did not call the store learns of an outage from peers in two data centres`() {
+        val failing = none.reported(peerInA, long, now).reported(peerInB, long, now)
+        expectThat(failing.last(now)).isEqualTo(now)
+        val recovered = failing.reported(peerInB, Duration.ZERO, now.plusMillis(400))
+            .reported(peerInA, Duration.ZERO, now.plusMillis(600))
+        expectThat(recovered.last(now.plusMillis(800))).isEqualTo(now.plusMillis(600))
+    }
+
+    @Test
+    fun `a data centre that is cut off from a sound store makes no outage for the others`() {
+        expectThat(none.reported(peerInB, long, now).last(now)).isNull()
+    }
+
+    @Test
+    fun `in a fleet of one data centre a peer's report suffices`() {
+        expectThat(none.reported(peerInA, long, now).last(now, dataCentres = 1)).isEqualTo(now)
+    }
+
+    @Test
+    fun `the report of a peer that has fallen silent is forgotten`() {
+        val failing = none.reported(peerInA, long, now).reported(peerInB, long, now)
+        expectThat(failing.last(now.plusSeconds(11))).isNull()
+    }
+}
--- a/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
@@ -38,8 +38,18 @@
     }
 
     @Test
-    fun `many entries removed at once count as expired even without a noticed outage`() {
-        expectThat(change(all, entries(5, 6, 7, 8)).activeEndpoints(now).size).isEqualTo(4)
+    fun `endpoints that leave together without reporting that they drain get no grace period without an outage`() {
+        expectThat(change(all, entries(5, 6, 7, 8)).activeEndpoints(now)).isEmpty()
+    }
+
+    @Test
+    fun `all endpoints whose entries expired in an outage stay in use, however many they are`() {
+        expectThat(change(all, emptyMap(), now).activeEndpoints(now).size).isEqualTo(8)
+    }
+
+    @Test
+    fun `an outage that ended long ago gives no grace period`() {
+        expectThat(change(all, entries(5, 6, 7, 8), now.minusMillis(2_200)).activeEndpoints(now)).isEmpty()
     }
 
     @Test
@@ -50,7 +60,7 @@
 
     @Test
     fun `an endpoint that registers again leaves the grace period`() {
-        val grace = change(all, entries(5, 6, 7, 8))
+        val grace = change(all, entries(5, 6, 7, 8), now)
         val afterReturn = RemovalPolicy.update(grace, entries(5, 6, 7, 8), entries(1, 5, 6, 7, 8), null, now)
         expectThat(afterReturn.activeEndpoints(now).map { it.name.text }.sorted()).containsExactly("e2", "e3", "e4")
     }
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -159,8 +159,7 @@
      * so that the watchers together renew watches at a constant rate.
      */
     private fun watchDuration(): Duration {
-        val dataCentres = peers.live.map { it.address.dataCentre }.plus(context.options.dataCentre).distinct().size
-        return minOf(context.options.timeouts.watch.multipliedBy(dataCentres.toLong()), MAX_WATCH)
+        return minOf(context.options.timeouts.watch.multipliedBy(peers.fleet.dataCentreCount.toLong()), MAX_WATCH)
     }
 
     private companion object {
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -15,6 +15,8 @@
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.fleet.StoreOutages
+import comfreypath.coordination.fleet.StoreOutages.ReportingRouter
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.rollout.RolloutReports
@@ -26,6 +28,7 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
 import kotlinx.collections.immutable.toImmutableList
+import java.time.Duration
 import java.time.Instant
 import kotlin.random.Random
 
@@ -81,8 +84,14 @@
     /** Called with the reports of prompt parts in each recent message of a peer. */
     var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
 
+    private val self = ReportingRouter(context.options.name, context.options.dataCentre)
+    private var outages = StoreOutages(context.options.name)
+
     /** Whether the store responds to this router. */
-    val store = StoreReachability(context.clock) { view.endpoints.storeRecoveredAt = context.now() }
+    val store = StoreReachability(context.clock) { failedFor ->
+        reportOutage(self, failedFor)
+        reportOutage(self, Duration.ZERO)
+    }
 
     /** True once this router has begun to stop. */
     var draining: Boolean = false
@@ -96,6 +105,19 @@
     /** Called when a peer has a newer configuration. */
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
 
+    init {
+        view.endpoints.storeOutageAt = ::lastStoreOutageAt
+    }
+
+    private fun lastStoreOutageAt(): Instant? {
+        reportOutage(self, store.failingFor)
+        return outages.lastAt(context.now(), fleet.dataCentreCount)
+    }
+
+    private fun reportOutage(router: ReportingRouter, failingFor: Duration) {
+        outages = outages.reported(router, failingFor, context.now())
+    }
+
     /** Starts receiving and sending status messages. */
     suspend fun start() {
         socket.start()
@@ -155,6 +177,7 @@
             inFlight = tracker.inFlight(),
             rollouts = rolloutReports(),
             partReports = partReports(),
+            storeFailingMilliseconds = store.failingFor.toMillis(),
         )
 
     private fun receive(status: PeerStatus, sender: Address) {
@@ -164,6 +187,10 @@
         step(GossipEvent.StatusReceived(status, address, knowsSame))
         val isLatest = state.peers[status.from]?.status === status
         status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
+        if (isLatest) {
+            val sendingRouter = ReportingRouter(status.from, status.dataCentre)
+            reportOutage(sendingRouter, Duration.ofMillis(status.storeFailingMilliseconds))
+        }
     }
 
     private fun step(event: GossipEvent) {
--- a/router/src/main/kotlin/comfreypath/router/store/StoreReachability.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/StoreReachability.kt
@@ -7,11 +7,11 @@
 /**
  * Whether the store responds to this router, by the outcomes of its calls.
  *
- * @property onRecovered called when the store has responded after an outage
+ * @property onRecovered called with the time for which calls had failed when the store responds again
  */
-class StoreReachability(private val clock: InstantSource, private val onRecovered: () -> Unit = {}) {
+class StoreReachability(private val clock: InstantSource, private val onRecovered: (Duration) -> Unit = {}) {
     private var respondedAt: Instant? = null
-    private var failedAt: Instant? = null
+    private var failingSince: Instant? = null
 
     /**
      * The time since the last response; null before the first.
@@ -21,18 +21,25 @@
      */
     val responseAge: Duration?
         get() = respondedAt?.let { responded ->
-            val failed = failedAt?.let { it > responded } ?: false
-            if (failed) Duration.between(responded, clock.instant()) else Duration.ZERO
+            if (failingSince != null) Duration.between(responded, clock.instant()) else Duration.ZERO
         }
 
-    /** Records a response; [afterOutage] is true if the calls of the same kind had failed before. */
-    fun recordResponse(afterOutage: Boolean) {
+    /** The time for which calls have failed without a response; zero after a response. */
+    val failingFor: Duration
+        get() = failingSince?.let { Duration.between(it, clock.instant()) } ?: Duration.ZERO
+
+    /** Records a response. */
+    fun recordResponse() {
+        val failed = failingFor
         respondedAt = clock.instant()
-        if (afterOutage) onRecovered()
+        failingSince = null
+        if (failed > Duration.ZERO) onRecovered(failed)
     }
 
-    /** Records that a call failed. */
-    fun recordFailure() {
-        failedAt = clock.instant()
+    /** Records that a call failed, to which the store has not responded since [unansweredSince]. */
+    fun recordFailure(unansweredSince: Instant = clock.instant()) {
+        if (failingSince == null) {
+            failingSince = maxOf(unansweredSince, respondedAt ?: unansweredSince)
+        }
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationProbe.kt
@@ -123,12 +123,12 @@
     private suspend fun readConfiguration(startedAt: Instant): Boolean =
         store.read(ObjectKinds.CONFIGURATION, ObjectKinds.CONFIGURATION_NAME).fold(
             success = { stored ->
-                reachability.recordResponse(afterOutage = false)
+                reachability.recordResponse()
                 stored?.let { sink.update(it, startedAt) }
                 stored != null
             },
             failure = {
-                reachability.recordFailure()
+                reachability.recordFailure(unansweredSince = startedAt)
                 false
             },
         )
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -18,8 +18,8 @@
     /** The registered endpoints, by name. */
     val entries = KindView<Endpoint>(context, "endpoint")
 
-    /** When the store responded again after the last outage; null if there was none. */
-    var storeRecoveredAt: Instant? = null
+    /** Returns the time of the last outage of the store, the present if it goes on; null if there was none. */
+    var storeOutageAt: () -> Instant? = { null }
 
     private class WarmTime(val endpoint: Endpoint, val at: Instant)
 
@@ -29,9 +29,15 @@
 
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
-        val next = RemovalPolicy.update(grace, known, current, storeRecoveredAt, context.now())
+        val outageAt = storeOutageAt()
+        val next = RemovalPolicy.update(grace, known, current, outageAt, context.now())
         (next.expiresAt.keys - grace.expiresAt.keys).forEach {
-            context.log.record("endpoint_kept_without_entry", "endpoint" to it.name, "until" to next.expiresAt[it])
+            context.log.record(
+                "endpoint_kept_without_entry",
+                "endpoint" to it.name,
+                "until" to next.expiresAt[it],
+                "outageAt" to outageAt,
+            )
         }
         grace = next
         known = current
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -225,7 +225,7 @@
             val milliseconds = Duration.between(it, context.now()).toMillis()
             context.log.record("store_regained", "kind" to kind.label, "afterMs" to milliseconds)
         }
-        hooks.reachability.recordResponse(unavailable)
+        hooks.reachability.recordResponse()
         unavailableSince = null
     }
 }
