--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -15,8 +15,6 @@
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
-import comfreypath.coordination.fleet.StoreOutages
-import comfreypath.coordination.fleet.StoreOutages.ReportingRouter
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.rollout.RolloutReports
@@ -28,7 +26,6 @@
 import comfreypath.router.view.ClusterView
 import comfreypath.transport.Address
 import kotlinx.collections.immutable.toImmutableList
-import java.time.Duration
 import java.time.Instant
 import kotlin.random.Random
 
@@ -84,14 +81,10 @@
     /** Called with the reports of prompt parts in each recent message of a peer. */
     var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
 
-    private val self = ReportingRouter(context.options.name, context.options.dataCentre)
-    private var outages = StoreOutages(context.options.name)
+    private val outages = StoreOutageReports(context) { fleet.dataCentreCount }
 
     /** Whether the store responds to this router. */
-    val store = StoreReachability(context.clock) { failedFor ->
-        reportOutage(self, failedFor)
-        reportOutage(self, Duration.ZERO)
-    }
+    val store: StoreReachability get() = outages.store
 
     /** True once this router has begun to stop. */
     var draining: Boolean = false
@@ -106,16 +99,7 @@
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
 
     init {
-        view.endpoints.storeOutageAt = ::lastStoreOutageAt
-    }
-
-    private fun lastStoreOutageAt(): Instant? {
-        reportOutage(self, store.failingFor)
-        return outages.lastAt(context.now(), fleet.dataCentreCount)
-    }
-
-    private fun reportOutage(router: ReportingRouter, failingFor: Duration) {
-        outages = outages.reported(router, failingFor, context.now())
+        view.endpoints.storeOutageAt = outages::lastOutageAt
     }
 
     /** Starts receiving and sending status messages. */
@@ -187,10 +171,7 @@
         step(GossipEvent.StatusReceived(status, address, knowsSame))
         val isLatest = state.peers[status.from]?.status === status
         status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
-        if (isLatest) {
-            val sendingRouter = ReportingRouter(status.from, status.dataCentre)
-            reportOutage(sendingRouter, Duration.ofMillis(status.storeFailingMilliseconds))
-        }
+        if (isLatest) outages.heard(status)
     }
 
     private fun step(event: GossipEvent) {
