Bound the memory of all bodies together, and exit when the event loop ends

Cause: each body was bounded, their sum was not; a body took up to three times its size; idle connections kept their last body; a fatal error of the event loop ended nothing else.

Change: budgets for the bodies of requests and of responses, from the size of the heap. A body may grow while it holds no more than is left (dynamic thresholds). A request that does not fit gets 503 before it reaches an endpoint, a response that does not fit ends its attempt. 64 KB of a response wait in a connection at most.

Not done: back pressure before refusal, and sending bodies in slices. Of six bodies of 4 MiB at once two may now be refused.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -40,6 +40,9 @@
     /** The body was longer than allowed. */
     BODY_TOO_LONG,
 
+    /** No memory was left for the body or for an event. */
+    OUT_OF_MEMORY,
+
     /** An event of a stream was longer than allowed. */
     EVENT_TOO_LONG,
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -35,6 +35,7 @@
             "Unknown(reason=TOO_MANY_INTERIM_RESPONSES)",
             "Unknown(reason=TOO_MUCH_FOREIGN)",
             "Unknown(reason=BODY_TOO_LONG)",
+            "Unknown(reason=OUT_OF_MEMORY)",
             "Unknown(reason=EVENT_TOO_LONG)",
             "Unknown(reason=TRUNCATED)",
             "Unknown(reason=STALLED)",
--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -29,6 +29,8 @@
 import java.time.Instant
 import java.util.concurrent.CountDownLatch
 
+private const val EXIT_FATAL = 3
+
 /** Runs one router until SIGTERM, then stops it gracefully. */
 class RouterCommand {
     /** Returns the exit status: 0 after a graceful stop, 1 if the start fails, [EXIT_USAGE] if a setting is invalid. */
@@ -60,6 +62,12 @@
             )
     }
 
+    /** Ends the process, so that it is started again: nothing is answered without the event loop. */
+    private fun exitAfterFatalError() {
+        System.err.println("comfreypath router: the event loop has ended by a fatal error")
+        Runtime.getRuntime().halt(EXIT_FATAL)
+    }
+
     private fun printEffective(raw: RawSettings): Int {
         RouterSettings.all.forEach { println("${it.name}=${raw.rawValue(it)}") }
         return 0
@@ -90,6 +98,7 @@
             runBlocking { withContext(loop.dispatcher()) { router.start() } }
             CoroutineScope(loop.dispatcher()).launch { reloader.watchFile() }
             Runtime.getRuntime().addShutdownHook(shutdownHook)
+            loop.terminationFuture().addListener { exitAfterFatalError() }
             stopLatch.await()
             0
         } catch (exception: IOException) {
--- /dev/null
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -0,0 +1,55 @@
+package comfreypath.daemon
+
+import comfreypath.daemon.demo.freeAddress
+import comfreypath.transport.Address
+import java.io.Closeable
+import java.io.File
+import java.nio.file.Files
+import java.util.concurrent.TimeUnit
+
+private const val EXIT_SECONDS = 10L
+
+/**
+ * A router in a process of its own, with the memory that `deploy/system.toml` gives it.
+ *
+ * @param store the address of the object store
+ */
+internal class RouterProcess(store: Address, name: String = "router-process") : Closeable {
+    /** The address for callers. */
+    val callerAddress: Address = freeAddress()
+
+    private val output: File = Files.createTempFile("router-process", ".log").toFile()
+    private val process: Process = ProcessBuilder(
+        listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags +
+            listOf("-cp", System.getProperty("java.class.path"), "comfreypath.daemon.MainKt", "router") +
+            mapOf(
+                "name" to name,
+                "data-centre" to "south-a",
+                "interface" to "platform",
+                "listen" to callerAddress,
+                "readiness-listen" to freeAddress(),
+                "peer-listen" to freeAddress(),
+                "metrics-listen" to freeAddress(),
+                "object-store" to store,
+            ).flatMap { (setting, value) -> listOf("--$setting", "$value") },
+    ).redirectErrorStream(true).redirectOutput(output).start()
+
+    /** True while the process runs. */
+    val alive: Boolean get() = process.isAlive
+
+    /** What the process has written. */
+    val log: String get() = output.readText()
+
+    override fun close() {
+        process.destroyForcibly().waitFor(EXIT_SECONDS, TimeUnit.SECONDS)
+        output.delete()
+    }
+
+    private companion object {
+        /** The flags of the deployment without those of its class archive, which the tests don't have. */
+        val memoryFlags = File("../deploy/system.toml").readLines().first { it.startsWith("run = ") }
+            .split('"')[1].split(' ')
+            .filter { it.startsWith("-X") || it.startsWith("-Dio.netty") }
+            .filterNot { "Archive" in it || "-Xlog" in it }
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/CallerServerEvents.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerServerEvents.kt
@@ -2,10 +2,12 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.router.request.CallerDialect
+import comfreypath.transport.HttpRejection
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ServerEvent
 import java.time.Duration
 import java.time.Instant
+import java.util.EnumMap
 
 private const val REFUSED_CONNECTIONS_LOG_SECONDS = 1L
 
@@ -13,6 +15,7 @@
 internal class CallerServerEvents(private val context: RouterContext, private val dialect: CallerDialect) {
     private var refusedSinceLine = 0
     private var refusalsLoggedAt: Instant? = null
+    private val rejectionsLoggedAt = EnumMap<HttpRejection, Instant>(HttpRejection::class.java)
 
     /** Logs and counts [event]. */
     fun record(event: ServerEvent) = when (event) {
@@ -24,6 +27,7 @@
             "request" to event.request.id(),
             "error" to event.failure,
         )
+        is ServerEvent.RequestRejected -> recordRejected(event.rejection)
         is ServerEvent.ConnectionRefused -> recordRefused(event.openConnections)
     }
 
@@ -40,6 +44,17 @@
         )
     }
 
+    /** Logs at most one line in [REFUSED_CONNECTIONS_LOG_INTERVAL] for each kind of rejection. */
+    private fun recordRejected(rejection: HttpRejection) {
+        val reason = rejection.name.lowercase()
+        context.metrics.requestsRejected.labelValues(reason).inc()
+        val now = context.now()
+        if (rejectionsLoggedAt[rejection]?.let { now < it + REFUSED_CONNECTIONS_LOG_INTERVAL } != true) {
+            context.log.record("requests_rejected", "reason" to reason, "heldBytes" to context.memory.usedBytes)
+            rejectionsLoggedAt[rejection] = now
+        }
+    }
+
     /** Logs at most one line in [REFUSED_CONNECTIONS_LOG_INTERVAL]. */
     private fun recordRefused(openConnections: Int) {
         context.metrics.connectionsRefused.inc()
--- a/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/CallerServerOptions.kt
@@ -4,6 +4,7 @@
 import comfreypath.router.request.Refusal
 import comfreypath.router.request.RefusalCode
 import comfreypath.router.view.ClusterView
+import comfreypath.transport.HttpRejection
 import comfreypath.transport.HttpServerOptions
 
 /** Derives the limits of the server for callers from the configuration in force. */
@@ -13,7 +14,10 @@
     dialect: CallerDialect,
 ) {
     private val defaults = HttpServerOptions(
-        rejectionBody = { dialect.encode(Refusal(RefusalCode.BAD_INPUT, it.detail), null).body },
+        rejectionBody = { rejection ->
+            val code = if (rejection == HttpRejection.OUT_OF_MEMORY) RefusalCode.OVERLOADED else RefusalCode.BAD_INPUT
+            dialect.encode(Refusal(code, rejection.detail), null).body
+        },
     )
 
     /** The limits in force; defaults while no configuration is known. */
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -117,6 +117,7 @@
     private val callerServer = HttpServer(
         loop = loop,
         options = CallerServerOptions({ context.options.maxConnections }, view, formats.callers)::current,
+        memory = context.memory,
         clock = clock,
         onEvent = CallerServerEvents(context, formats.callers)::record,
         handler = requests::handle,
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -4,6 +4,7 @@
 import comfreypath.router.telemetry.EventLog
 import comfreypath.router.telemetry.RouterMetrics
 import comfreypath.router.telemetry.Tracing
+import comfreypath.transport.BodyMemory
 import comfreypath.transport.dispatcher
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -42,6 +43,9 @@
         },
     )
 
+    /** Holds the bodies of callers' requests and of endpoints' responses. */
+    val memory = BodyMemory(options.requestMemoryBytes, options.responseMemoryBytes)
+
     /** Wakes the periodic tasks of this router together. */
     val ticker = SharedTicker(loop, Duration.ofMillis(TICK_MILLISECONDS), clock)
 
--- a/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
@@ -9,6 +9,11 @@
 import java.time.Duration
 
 private const val MAX_CONNECTIONS = 3_000
+
+/** The heap that bodies may fill. Sending a body takes its size again, outside the heap, until it is written. */
+private const val HEAP_PARTS = 8
+private const val REQUEST_HEAP_PARTS = 3
+private const val RESPONSE_HEAP_PARTS = 1
 private const val CONNECT_MILLISECONDS = 300L
 private const val STORE_CALL_MILLISECONDS = 1_500L
 private const val WATCH_MILLISECONDS = 2_000L
@@ -32,6 +37,8 @@
  * @property peers the routers to contact at startup, in addition to those that the store lists
  * @property traceCollector the OTLP endpoint that receives spans; null disables tracing
  * @property maxConnections the maximum number of open connections from callers
+ * @property requestMemoryBytes the maximum size of all bodies of requests together that the router holds
+ * @property responseMemoryBytes the maximum size of all bodies of responses together that the router holds
  */
 data class RouterOptions(
     val name: InstanceName,
@@ -44,6 +51,8 @@
     val peers: List<Address> = emptyList(),
     val traceCollector: String? = null,
     val maxConnections: Int = MAX_CONNECTIONS,
+    val requestMemoryBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_PARTS * REQUEST_HEAP_PARTS,
+    val responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_PARTS * RESPONSE_HEAP_PARTS,
     val timeouts: RouterTimeouts = RouterTimeouts(),
     val bounds: ServiceBounds = ServiceBounds(),
     val claims: ClaimShardOptions = ClaimShardOptions(),
--- a/router/src/main/kotlin/comfreypath/router/claims/IdempotentRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/IdempotentRelay.kt
@@ -66,12 +66,16 @@
         hashOf(exchange.request.body.decodeToString()),
     )
 
-    private suspend fun runClaimed(exchange: CallerExchange, key: ClaimKey, attempt: AttemptId): RelayResult =
-        context.scope.async {
+    private suspend fun runClaimed(exchange: CallerExchange, key: ClaimKey, attempt: AttemptId): RelayResult {
+        exchange.memory.retain()
+        val run = context.scope.async {
             val result = relay(exchange)
             context.scope.launch { recordOrRelease(key, attempt, result) }
             result
-        }.await()
+        }
+        run.invokeOnCompletion { exchange.memory.close() }
+        return run.await()
+    }
 
     /** Records the response, or releases the key if the request has not run. */
     private suspend fun recordOrRelease(key: ClaimKey, attempt: AttemptId, result: RelayResult) {
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -205,6 +205,7 @@
 
     private fun newStreamRelay(head: EndpointResponseHead) = StreamRelay(
         writer = exchange.writer,
+        memory = exchange.memory.response,
         head = head,
         onStart = {
             exchange.firstByteAt = context.now()
@@ -225,7 +226,7 @@
                     stream = relay
                     ResponseReader.relayStream(relay, sent)
                 } else {
-                    ResponseReader.readFully(selection.endpoint, sent)
+                    ResponseReader.readFully(selection.endpoint, sent, exchange.memory.response)
                 }
             }
             reusable = attempt?.connectionReusable ?: false
--- a/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/CallerExchange.kt
@@ -3,11 +3,21 @@
 import comfreypath.coordination.model.TeamName
 import comfreypath.coordination.routing.Route
 import comfreypath.router.telemetry.TRACE_PARENT
+import comfreypath.transport.BodyMemory
+import comfreypath.transport.ExchangeMemory
 import comfreypath.transport.ResponseWriter
 import java.time.Instant
 
-/** A caller's request on its way through the stages, with the writer for its response. */
-class CallerExchange(val request: CallerRequest, val writer: ResponseWriter) {
+/**
+ * A caller's request on its way through the stages, with the writer for its response.
+ *
+ * @property memory holds the bodies of the request and of its response
+ */
+class CallerExchange(
+    val request: CallerRequest,
+    val writer: ResponseWriter,
+    val memory: ExchangeMemory = BodyMemory.unlimited().open(),
+) {
     /** The `traceparent` header to pass on with the request; null if there is none. */
     var traceParent: String? = request.forwardedHeaders.get(TRACE_PARENT)
 
--- a/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.request
 
+import comfreypath.transport.MemoryBudget
+
 private const val INITIAL_BUFFER_BYTES = 256
 private const val MAX_IDLE_BUFFER_BYTES = 16_384
 private const val MAX_EVENT_BYTES = 1_048_576
@@ -22,6 +24,19 @@
     /** True once the incomplete event is longer than allowed. */
     val overflowed: Boolean get() = size > MAX_EVENT_BYTES
 
+    /** The bytes that the incomplete event takes from a budget. */
+    var reservedBytes = 0
+        private set
+
+    /** Takes the memory of the incomplete event from [memory], or gives it back; returns false if none is left. */
+    fun reserve(memory: MemoryBudget.Account): Boolean {
+        val growth = size - reservedBytes
+        val fits = growth <= 0 || memory.add(growth)
+        if (growth < 0) memory.remove(-growth)
+        if (fits) reservedBytes = size
+        return fits
+    }
+
     /** Adds received bytes and returns the events that they complete. */
     fun feed(bytes: ByteArray): List<StreamEvent> {
         append(bytes)
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -18,7 +18,7 @@
     is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
-        UnknownReason.SLOW -> null
+        UnknownReason.SLOW, UnknownReason.OUT_OF_MEMORY -> null
         UnknownReason.FRAMING_TOO_LONG,
         UnknownReason.TOO_MANY_INTERIM_RESPONSES,
         UnknownReason.TOO_MUCH_FOREIGN,
--- a/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RequestPipeline.kt
@@ -43,7 +43,7 @@
         context.metrics.inProgress.set(inProgress.toDouble())
         try {
             dialect.read(incoming, receivedAt()).fold(
-                success = { request -> start(CallerExchange(request, writer)) },
+                success = { request -> start(CallerExchange(request, writer, incoming.memory)) },
                 failure = { refusal -> write(refusal, null, writer) },
             )
         } finally {
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -6,9 +6,11 @@
 import comfreypath.router.sending.EndpointExchange
 import comfreypath.router.sending.SendResult
 import comfreypath.router.sending.toUnknownReason
+import comfreypath.transport.BodyBuffer
+import comfreypath.transport.BodyGrowth
+import comfreypath.transport.MemoryBudget
 import comfreypath.transport.ResponsePart
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 
 private const val MAX_RESPONSE_BYTES = 16_777_216
 private const val REFUSAL_BODY_MILLISECONDS = 100L
@@ -27,9 +29,22 @@
 
 /** Reads the bodies of endpoints' responses to their end. */
 object ResponseReader {
-    /** Reads a response of [endpoint] into memory. */
-    suspend fun readFully(endpoint: Endpoint, sent: SendResult.Responding): CompletedAttempt {
-        val body = ByteArrayOutputStream()
+    /** Reads a response of [endpoint] into memory that is taken from [memory]. */
+    suspend fun readFully(
+        endpoint: Endpoint,
+        sent: SendResult.Responding,
+        memory: MemoryBudget.Account,
+    ): CompletedAttempt {
+        val body = BodyBuffer(MAX_RESPONSE_BYTES, memory)
+        var delivered = false
+        try {
+            return read(endpoint, sent, body).also { delivered = it.result != null }
+        } finally {
+            if (!delivered) body.discard()
+        }
+    }
+
+    private suspend fun read(endpoint: Endpoint, sent: SendResult.Responding, body: BodyBuffer): CompletedAttempt {
         val head = sent.head
         if (head.notRun) {
             // The head says that the request has not run; the body is read only to keep the connection.
@@ -47,16 +62,18 @@
     }
 
     /** Reads the rest of the response into [body]; returns why it is incomplete, or null. */
-    private suspend fun readBody(exchange: EndpointExchange, body: ByteArrayOutputStream): UnknownReason? {
+    private suspend fun readBody(exchange: EndpointExchange, body: BodyBuffer): UnknownReason? {
+        var growth = BodyGrowth.ADDED
         var part = exchange.next()
-        while (part is ResponsePart.Bytes && body.size() <= MAX_RESPONSE_BYTES) {
-            body.writeBytes(part.bytes)
-            part = exchange.next()
+        while (part is ResponsePart.Bytes && growth == BodyGrowth.ADDED) {
+            growth = body.add(part.bytes)
+            if (growth == BodyGrowth.ADDED) part = exchange.next()
         }
         return when (part) {
             ResponsePart.End -> null
             is ResponsePart.Aborted -> part.reason.toUnknownReason()
-            is ResponsePart.Bytes -> UnknownReason.BODY_TOO_LONG
+            is ResponsePart.Bytes ->
+                if (growth == BodyGrowth.TOO_LONG) UnknownReason.BODY_TOO_LONG else UnknownReason.OUT_OF_MEMORY
             is ResponsePart.Head -> UnknownReason.MALFORMED
         }
     }
@@ -74,6 +91,7 @@
             )
             is StreamEnd.Aborted -> CompletedAttempt(AttemptOutcome.Unknown(end.reason.toUnknownReason()))
             StreamEnd.EventTooLong -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.EVENT_TOO_LONG))
+            StreamEnd.OutOfMemory -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.OUT_OF_MEMORY))
             StreamEnd.Truncated -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TRUNCATED))
         }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.router.sending.EndpointExchange
 import comfreypath.transport.AbortReason
+import comfreypath.transport.MemoryBudget
 import comfreypath.transport.ResponsePart
 import comfreypath.transport.ResponseWriter
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -15,6 +16,9 @@
     /** An event was longer than allowed. */
     data object EventTooLong : StreamEnd
 
+    /** No memory was left for an event. */
+    data object OutOfMemory : StreamEnd
+
     /** The endpoint ended its response within an event. */
     data object Truncated : StreamEnd
 
@@ -28,6 +32,7 @@
  * Only complete events are relayed, so that a stream that aborts within an event can resume after the last complete
  * one. The head is written with the first event: until then the response can still come from another endpoint.
  *
+ * @property memory holds an event until it is complete
  * @property head the head of the response whose first event starts the stream
  * @property onStart called when the first event goes to the caller
  * @property onEvents called with the number of events of the caller's request that have arrived
@@ -35,6 +40,7 @@
  */
 class StreamRelay(
     private val writer: ResponseWriter,
+    private val memory: MemoryBudget.Account,
     private val head: EndpointResponseHead,
     private val onStart: () -> Unit,
     private val onEvents: (Int) -> Unit,
@@ -51,10 +57,20 @@
     /** Relays the events of [exchange] until it ends. */
     suspend fun relayFrom(exchange: EndpointExchange): StreamEnd {
         val splitter = EventSplitter()
+        try {
+            return relayFrom(exchange, splitter)
+        } finally {
+            memory.remove(splitter.reservedBytes)
+        }
+    }
+
+    private suspend fun relayFrom(exchange: EndpointExchange, splitter: EventSplitter): StreamEnd {
+        var roomLeft = true
         var part = exchange.next()
-        while (part is ResponsePart.Bytes && !splitter.overflowed) {
+        while (part is ResponsePart.Bytes && !splitter.overflowed && roomLeft) {
             write(splitter.feed(part.bytes))
-            part = exchange.next()
+            roomLeft = splitter.reserve(memory)
+            if (roomLeft) part = exchange.next()
         }
         val complete = part == ResponsePart.End && !splitter.partial
         if (complete) {
@@ -64,7 +80,7 @@
         return when (part) {
             ResponsePart.End -> if (complete) StreamEnd.Complete else StreamEnd.Truncated
             is ResponsePart.Aborted -> StreamEnd.Aborted(part.reason)
-            is ResponsePart.Bytes -> StreamEnd.EventTooLong
+            is ResponsePart.Bytes -> if (roomLeft) StreamEnd.EventTooLong else StreamEnd.OutOfMemory
             is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -21,6 +21,10 @@
     /** Requests refused or failed by the router, by code. */
     val refused: Counter = counter("comfreypath_refused_total", "Requests refused.", "code")
 
+    /** Requests rejected before they were read completely, by reason. */
+    val requestsRejected: Counter =
+        counter("comfreypath_requests_rejected_total", "Requests rejected before they were read.", "reason")
+
     /** Requests that were read completely; each is also counted as a response written or a request unanswered. */
     val requestsRead: Counter = counter("comfreypath_requests_read_total", "Requests read completely.")
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.channels.Channel as Queue
 
 private const val HIGH_WATERMARK_PARTS = 256
+private const val HIGH_WATERMARK_BYTES = 65_536
 private const val MAX_INTERIM_RESPONSES = 16
 
 /** The head of a request. [headers] are sent unchanged, except for Content-Length, which is set from the body. */
@@ -33,6 +34,7 @@
     MessageHandler<HttpObject>() {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
     private var queued = 0
+    private var queuedBytes = 0
     private var reset = false
     private var persistent = true
     private var interim = false
@@ -52,6 +54,10 @@
     val reusable: Boolean
         get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0
 
+    private val full: Boolean get() = queued >= HIGH_WATERMARK_PARTS || queuedBytes >= HIGH_WATERMARK_BYTES
+
+    private val ResponsePart.size: Int get() = (this as? ResponsePart.Bytes)?.bytes?.size ?: 0
+
     /** True until the connection has closed. */
     val open: Boolean get() = channel.isActive
 
@@ -92,7 +98,8 @@
         val part = parts.receiveCatching().getOrNull() ?: ResponsePart.Aborted(AbortReason.CLOSED)
         if (part !is ResponsePart.Aborted) {
             queued -= 1
-            if (queued < HIGH_WATERMARK_PARTS && channel.isActive) {
+            queuedBytes -= part.size
+            if (!full && channel.isActive) {
                 channel.config().isAutoRead = true
             }
         }
@@ -145,7 +152,7 @@
         if (content is LastHttpContent) {
             if (reset) abort(AbortReason.RESET) else add(ResponsePart.End)
         }
-        if (queued >= HIGH_WATERMARK_PARTS) {
+        if (full) {
             context.channel().config().isAutoRead = false
         }
     }
@@ -153,6 +160,7 @@
     private fun add(part: ResponsePart) {
         if (!aborted) {
             queued += 1
+            queuedBytes += part.size
             parts.trySend(part)
             if (!exchangeInProgress) {
                 channel.close()
--- a/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpExchange.kt
@@ -44,9 +44,9 @@
 
     /** Reads the complete body; closes the connection if the body is longer than the request allows. */
     suspend fun body(): Result<ByteArray, ExchangeFailure> {
-        val body = BodyBuffer(request.maxBodyBytes)
+        val body = BodyBuffer(request.maxBodyBytes, MemoryBudget.unlimited().open())
         var part = next()
-        while (part is ResponsePart.Bytes && body.add(part.bytes)) {
+        while (part is ResponsePart.Bytes && body.add(part.bytes) == BodyGrowth.ADDED) {
             part = next()
         }
         return when (part) {
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -22,19 +22,28 @@
  *
  * @param options provides the limits in force, which can change while the server runs; only a change of
  * [HttpServerOptions.maxHeaderBytes] does not apply to connections that are already open
+ * @param memory the budgets for the bodies of all requests and their responses
  * @param clock measures the age of requests
  * @param onEvent is called with each event of a request or connection, on the loop's thread
  */
 class HttpServer(
     private val loop: EventLoop,
     private val options: () -> HttpServerOptions,
+    memory: BodyMemory = BodyMemory.unlimited(),
     clock: InstantSource = InstantSource.system(),
     private val onEvent: (ServerEvent) -> Unit = {},
     handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(loop)
     private val scope = CoroutineScope(loop.dispatcher() + SupervisorJob())
-    private val environment = ServerEnvironment(scope, options, { !closeAfterResponse }, clock, onEvent, handler)
+    private val environment = ServerEnvironment(
+        scope = scope,
+        options = options,
+        mayKeepAlive = { !closeAfterResponse },
+        memory = memory,
+        reports = ServerReports(clock, onEvent),
+        handler = handler,
+    )
     private var listener: Channel? = null
 
     constructor(
--- a/transport/src/main/kotlin/comfreypath/transport/IncomingRequest.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/IncomingRequest.kt
@@ -8,8 +8,15 @@
  * A complete request received by a server.
  *
  * @property uri the path and the query string
+ * @property memory holds the bodies of the request and of its response until that has been written
  */
-class IncomingRequest(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray) {
+class IncomingRequest(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val memory: ExchangeMemory = BodyMemory.unlimited().open(),
+) {
     private val decoder = QueryStringDecoder(uri)
 
     /** The path without the query string, not percent-decoded. */
--- a/transport/src/main/kotlin/comfreypath/transport/OpenExchanges.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/OpenExchanges.kt
@@ -27,6 +27,7 @@
     /** Removes an exchange whose response is written completely. */
     fun complete(exchange: ServerExchange) {
         if (open.remove(exchange)) {
+            exchange.request.memory.close()
             onEvent(ServerEvent.ResponseWritten)
         }
     }
@@ -34,6 +35,7 @@
     /** Removes an exchange that gets no complete response. */
     fun fail(exchange: ServerExchange, reason: UnansweredReason, cause: Throwable? = null) {
         if (open.remove(exchange)) {
+            exchange.request.memory.close()
             val age = Duration.between(exchange.readAt, clock.instant())
             onEvent(ServerEvent.RequestUnanswered(exchange.request, reason, age, exchange.responseBegun, cause))
         }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
-import java.io.ByteArrayOutputStream
 
 /** The state of a request after its latest part. */
 internal sealed interface Aggregation {
@@ -25,11 +24,15 @@
     class Rejected(val rejection: HttpRejection) : Aggregation
 }
 
-/** Assembles the requests on one connection from their parts. */
-internal class RequestAggregator(private val maxBodyBytes: () -> Int, private val timer: ReceiveTimer) {
-    private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
-    private var bodyLimit = maxBodyBytes()
+/** Assembles the requests on one connection from their parts. Between two requests it holds no body. */
+internal class RequestAggregator(
+    private val maxBodyBytes: () -> Int,
+    private val memory: BodyMemory,
+    private val timer: ReceiveTimer,
+) {
+    private var partial: PartialRequest? = null
+
+    private class PartialRequest(val head: HttpRequest, val body: BodyBuffer, val memory: ExchangeMemory)
 
     /** Adds the next part. */
     fun add(context: ChannelHandlerContext, message: HttpObject): Aggregation {
@@ -44,9 +47,9 @@
     }
 
     private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
-        head = request
-        body = ByteArrayOutputStream()
-        bodyLimit = maxBodyBytes()
+        discard()
+        val accounts = memory.open()
+        partial = PartialRequest(request, BodyBuffer(maxBodyBytes(), accounts.request), accounts)
         timer.partReceived(context)
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -54,28 +57,34 @@
     }
 
     private fun append(context: ChannelHandlerContext, content: HttpContent): Aggregation {
-        val bytes = content.content()
-        val request = head
-        return when {
-            body.size() + bytes.readableBytes() > bodyLimit -> Aggregation.Rejected(HttpRejection.BODY_TOO_LARGE)
-            request == null -> Aggregation.Incomplete
-            else -> {
-                bytes.readBytes(body, bytes.readableBytes())
-                if (content is LastHttpContent) complete(request) else incomplete(context)
-            }
+        val request = partial ?: return Aggregation.Incomplete
+        val bytes = ByteArray(content.content().readableBytes())
+        content.content().readBytes(bytes)
+        return when (request.body.add(bytes)) {
+            BodyGrowth.TOO_LONG -> Aggregation.Rejected(HttpRejection.BODY_TOO_LARGE)
+            BodyGrowth.OUT_OF_MEMORY -> Aggregation.Rejected(HttpRejection.OUT_OF_MEMORY)
+            BodyGrowth.ADDED -> if (content is LastHttpContent) complete(request) else incomplete(context)
         }
     }
 
+    /** Drops a request that is not complete. */
+    fun discard() {
+        partial?.memory?.close()
+        partial = null
+    }
+
     private fun incomplete(context: ChannelHandlerContext): Aggregation {
         timer.partReceived(context)
         return Aggregation.Incomplete
     }
 
-    private fun complete(request: HttpRequest): Aggregation {
+    private fun complete(request: PartialRequest): Aggregation {
         timer.requestReceived()
-        head = null
-        val message = IncomingRequest(request.method(), request.uri(), request.headers(), body.toByteArray())
-        return Aggregation.Complete(message, HttpUtil.isKeepAlive(request))
+        partial = null
+        val head = request.head
+        val body = request.body.toByteArray()
+        val message = IncomingRequest(head.method(), head.uri(), head.headers(), body, request.memory)
+        return Aggregation.Complete(message, HttpUtil.isKeepAlive(head))
     }
 
     private fun rejectionFor(failure: Throwable): HttpRejection =
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -169,6 +169,7 @@
     response.headers()
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    retryAfterSeconds?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, it) }
     HttpUtil.setKeepAlive(response, keepAlive)
     return response
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -11,7 +11,8 @@
     private val environment: ServerEnvironment,
     private val pipeline: PipelineHandlers,
 ) : MessageHandler<HttpObject>() {
-    private val aggregator = RequestAggregator({ environment.options().maxBodyBytes }, pipeline.timer)
+    private val aggregator =
+        RequestAggregator({ environment.options().maxBodyBytes }, environment.memory, pipeline.timer)
     private lateinit var requests: RequestQueue
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -26,7 +27,11 @@
         }
         when (val aggregation = aggregator.add(context, message)) {
             Aggregation.Incomplete -> Unit
-            is Aggregation.Rejected -> requests.reject(aggregation.rejection)
+            is Aggregation.Rejected -> {
+                aggregator.discard()
+                environment.onEvent(ServerEvent.RequestRejected(aggregation.rejection))
+                requests.reject(aggregation.rejection)
+            }
             is Aggregation.Complete -> requests.add(aggregation)
         }
     }
@@ -42,12 +47,16 @@
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
             ReceiveTimeout.IDLE -> closeIfIdle()
-            ReceiveTimeout.REQUEST -> if (requests.accepting) requests.reject(HttpRejection.TOO_SLOW)
+            ReceiveTimeout.REQUEST -> if (requests.accepting) {
+                aggregator.discard()
+                requests.reject(HttpRejection.TOO_SLOW)
+            }
             else -> super.userEventTriggered(context, event)
         }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        aggregator.discard()
         requests.cancel()
         super.channelInactive(context)
     }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -29,6 +29,9 @@
     /** The handler of [request] failed with an exception. */
     data class HandlerFailed(val request: IncomingRequest, val failure: Throwable) : ServerEvent
 
+    /** A request was rejected because of [rejection] before it was read completely. */
+    data class RequestRejected(val rejection: HttpRejection) : ServerEvent
+
     /** A connection was closed at once because [openConnections] is the maximum. */
     data class ConnectionRefused(val openConnections: Int) : ServerEvent
 }
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
@@ -77,8 +77,8 @@
             scope = CoroutineScope(Dispatchers.Unconfined),
             options = { HttpServerOptions() },
             mayKeepAlive = { true },
-            clock = InstantSource.system(),
-            onEvent = { events += it },
+            memory = BodyMemory.unlimited(),
+            reports = ServerReports(InstantSource.system()) { events += it },
             handler = { _, writer ->
                 begin(writer)
                 awaitCancellation()
