Refuse the requests that a stopping router can't finish

Other operators report that in a planned stop in calm, requests that came late in the grace period were passed on and cut off at its end, among them ones that may not be repeated.

Cause: a stopping router decided by connection, never by request, whether to take it. What came on a busy connection was passed on with any time left.

Change: DrainAdmission takes a request in a stop if it times out before the end or usually ends in half of the time left, a quarter if it can't be repeated; others get 503 at once, not run.

--- a/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
@@ -1,14 +1,19 @@
 package comfreypath.daemon
 
 import comfreypath.coordination.invariant.Invariant
+import comfreypath.daemon.demo.PlatformFleet
 import comfreypath.daemon.demo.PlatformRequest
 import comfreypath.standins.PlatformServerFaults
+import comfreypath.standins.PlatformServerStandIn
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.doesNotContain
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import java.net.Socket
 import java.time.Duration
 
 class GracefulStopTest {
@@ -29,4 +34,56 @@
         }
         expectThat(fixture.fleet.violations.map { it.invariant }).all { isEqualTo(Invariant.GRACEFUL_STOP) }
     }
+
+    /** The bookings are pipelined, so that the last is handled late although its connection was never idle. */
+    @Test
+    fun `a request that comes late in the grace period is refused instead of being cut off at its end`() {
+        val fixture = PlatformFixture { it.copy(timeouts = it.timeouts.copy(grace = Duration.ofMillis(4_000))) }
+        runBlocking {
+            fixture.fleet.start()
+            try {
+                RawEndpoint(::respondSlowly).use { raw -> fixture.stopBesideBookings(raw) }
+            } finally {
+                fixture.fleet.stop()
+            }
+        }
+        expectThat(fixture.fleet.violations.toList()).isEmpty()
+    }
+
+    private suspend fun PlatformFixture.stopBesideBookings(raw: RawEndpoint) {
+        usePlainServer(raw)
+        val router = fleet.routers.single()
+        val address = router.options.callerAddress
+        Socket(address.host, address.port).use { caller ->
+            listOf("b1", "b2", "b3").forEach { caller.send(booking(it)) }
+            eventually("the first has reached a server") { raw.requests.any { it.id == "b1" } }
+            fleet.stopRouter(router)
+            val responses = caller.receive(Int.MAX_VALUE).decodeToString()
+            val statuses = Regex("HTTP/1.1 ([0-9]{3})").findAll(responses).map { it.groupValues[1] }.toList()
+            expectThat(statuses.size).isEqualTo(3)
+            expectThat(statuses.first()).isEqualTo("200")
+            expectThat(statuses.last()).isEqualTo("503")
+            expectThat(raw.requests.map { it.id }).doesNotContain("b3")
+        }
+    }
+
+    private fun booking(id: String): String {
+        val headers = listOf(
+            "Host: ${PlatformFleet.HOST}",
+            "Authorization: Token ${PlatformFleet.KEY}",
+            "X-Attempt-Id: $id",
+            "X-Deadline-Ms: 12000",
+            "Content-Length: 1",
+        )
+        return "POST /book/x HTTP/1.1\r\n" + headers.joinToString("\r\n") + "\r\n\r\nx"
+    }
+
+    private fun respondSlowly(request: RawRequest, socket: Socket) {
+        socket.receive(request.bodyLength)
+        Thread.sleep(1_500)
+        val seal = PlatformServerStandIn.signature(request.id)
+        socket.send(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.id}\r\nX-Response-Seal: $seal\r\nContent-Length: 2\r\n\r\nok",
+        )
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -4,6 +4,7 @@
 import comfreypath.coordination.invariant.Invariant
 import comfreypath.coordination.invariant.InvariantMonitor
 import comfreypath.coordination.invariant.InvariantViolation
+import comfreypath.coordination.overload.DrainAdmission
 import comfreypath.router.claims.ClaimCoordinator
 import comfreypath.router.claims.IdempotentRelay
 import comfreypath.router.evidence.AttemptEvidence
@@ -12,6 +13,7 @@
 import comfreypath.router.request.BodyErrorFilter
 import comfreypath.router.request.CallerDialect
 import comfreypath.router.request.CallerExchange
+import comfreypath.router.request.DrainFilter
 import comfreypath.router.request.EndpointDialect
 import comfreypath.router.request.EndpointSelector
 import comfreypath.router.request.Refusal
@@ -113,6 +115,7 @@
             ),
         )::relay,
     )
+    private val drainFilter = DrainFilter(context, trackers.progress::expectedTimes, ::refuse)
     private val requests: RequestPipeline = RequestPipeline(context, formats.callers, view.configuration, stages())
     private val callerServer = HttpServer(
         loop = loop,
@@ -137,6 +140,7 @@
             BodyErrorFilter(view.configuration, ::refuse)::filter,
             RouteFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
             ApiKeyFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
+            drainFilter::filter,
         ),
         ResponseStage(context, relay::run, ::refuse)::respond,
     )
@@ -189,8 +193,9 @@
         peers.draining = true
         peers.announceUpdate(toAll = true)
         val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_RESERVE)
+        drainFilter.drain = DrainAdmission(noticedAt = context.now() + DRAIN_NOTICE, endsAt = deadline)
         log.record("stopping", "inProgress" to requests.inProgress)
-        delay(DRAIN_NOTICE_MILLISECONDS)
+        delay(DRAIN_NOTICE.toMillis())
         drain.awaitIdle(deadline, claims::busy)
         val remaining = requests.inProgress
         context.monitor.check(Invariant.GRACEFUL_STOP, remaining == 0) {
@@ -224,6 +229,7 @@
         get() = !stopping && view.configuration.current != null && view.endpoints.entries.confirmedAt != null
 
     private companion object {
+        val DRAIN_NOTICE: Duration = Duration.ofMillis(DRAIN_NOTICE_MILLISECONDS)
         val EXIT_RESERVE: Duration = Duration.ofMillis(EXIT_RESERVE_MILLISECONDS)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -1,6 +1,10 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.overload.DrainAdmission
+import comfreypath.coordination.overload.ExpectedTimes
 import comfreypath.coordination.routing.Team
+import comfreypath.router.RouterContext
 import comfreypath.router.ServiceBounds
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationView
@@ -110,3 +114,28 @@
 
     private fun team(exchange: CallerExchange): Team? = exchange.request.apiKey?.let { view.teams.find(it) }
 }
+
+/**
+ * Refuses the requests that a stopping router can't finish.
+ *
+ * @param expectedTimes the expected times of a request of a route at a service
+ */
+class DrainFilter(
+    private val context: RouterContext,
+    private val expectedTimes: (ServiceName, String) -> ExpectedTimes,
+    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+) {
+    /** The decision while the router stops; null before. */
+    var drain: DrainAdmission? = null
+
+    /** Passes on the requests that are expected to end in time. */
+    suspend fun filter(exchange: CallerExchange, next: Stage) {
+        val route = exchange.route
+        val expected = route.destinations.mapNotNull { expectedTimes(it.service, route.name).holdTime }.maxOrNull()
+        if (drain?.admits(context.now(), exchange.deadline, expected, route.repeatable) == false) {
+            refuse(exchange, Refusal(RefusalCode.NOT_READY, "the router is stopping, and the request may outlast it"))
+        } else {
+            next(exchange)
+        }
+    }
+}
