Do not refuse a complete body when its end takes no memory

Cause: a body whose last part is empty was checked against the memory left, although it adds nothing. If other bodies had taken the rest meanwhile, a request that was held completely got 503.

Evidence: MemoryBudgetTest, 'a complete body is not refused when its end takes no memory', failed before.

--- a/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
@@ -28,7 +28,7 @@
         /** Adds [count] bytes; returns false, and adds nothing, if there is no room or the account is closed. */
         fun add(count: Int): Boolean {
             val left = limitBytes - usedBytes - count
-            val fits = !closed && bytes + count <= left
+            val fits = !closed && (count == 0 || bytes + count <= left)
             if (fits) change(count.toLong())
             return fits
         }
--- a/transport/src/test/kotlin/comfreypath/transport/MemoryBudgetTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/MemoryBudgetTest.kt
@@ -23,6 +23,14 @@
         expectThat(budget.usedBytes <= 1_000).isTrue()
     }
 
+    /** The end of a body may arrive by itself, after other bodies have taken what was left. */
+    @Test
+    fun `a complete body is not refused when its end takes no memory`() {
+        val account = budget.open().grow()
+        repeat(8) { budget.open().grow() }
+        expectThat(account.add(0)).isTrue()
+    }
+
     @Test
     fun `a closed account gives all bytes back and takes no more`() {
         val account = budget.open().grow()
