Blame an endpoint whose long response finds no memory

Cause: with the budget for responses, a response without end stopped for lack of memory before it reached its own limit of 16 MB. Lack of memory shows nothing of an endpoint's health, so that a server of endless answers stayed in use.

Change: a response of more than 256 KB that finds no memory ends its attempt as too long, which counts against its endpoint.

Evidence: RouterMemoryTest, 'ten responses without end leave room for the requests of others', now expects the reason; it failed before.

--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterMemoryTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterMemoryTest.kt
@@ -67,6 +67,7 @@
             val responses: List<Deferred<Int?>> = List(ENDLESS_RESPONSES) { async { status("endless-$it") } }
             expectSmallRequestsAnswered("beside endless responses")
             expectThat(responses.awaitAll()).all { isEqualTo(502) }
+            expectThat("BODY_TOO_LONG" in process.log).describedAs("the endpoint is blamed").isTrue()
         }
         expectSmallRequestsAnswered("after endless responses")
     }
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -13,6 +13,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 private const val MAX_RESPONSE_BYTES = 16_777_216
+
+/** A shorter response that finds no memory is not to blame for that. */
+private const val LONG_RESPONSE_BYTES = 262_144
 private const val REFUSAL_BODY_MILLISECONDS = 100L
 
 /**
@@ -72,8 +75,10 @@
         return when (part) {
             ResponsePart.End -> null
             is ResponsePart.Aborted -> part.reason.toUnknownReason()
-            is ResponsePart.Bytes ->
-                if (growth == BodyGrowth.TOO_LONG) UnknownReason.BODY_TOO_LONG else UnknownReason.OUT_OF_MEMORY
+            is ResponsePart.Bytes -> {
+                val long = growth == BodyGrowth.TOO_LONG || body.size > LONG_RESPONSE_BYTES
+                if (long) UnknownReason.BODY_TOO_LONG else UnknownReason.OUT_OF_MEMORY
+            }
             is ResponsePart.Head -> UnknownReason.MALFORMED
         }
     }
