Count only outages of the store that have ended, and end the grace period before a server that leaves exits

The store rejected a third of the routers for 8 s while a release took servers away; the rejected routers learned the removals from peers, and kept the servers for 2.2 s.

The grace period ends 1.7 s after the removal at the latest, since a server may also leave just after an outage.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -45,16 +45,16 @@
         entries.filter { Duration.between(it.value, now) > maxReportAge }.fold(this) { map, old -> map.remove(old.key) }
 
     /**
-     * The time of the last outage: [now] if it goes on, else the time at which the last reporting router had a response
-     * again; null if there was none. [dataCentres] is the number of data centres that have routers.
+     * The end of the last outage, when the last reporting router had a response again; null if there was none.
+     *
+     * An outage that goes on does not count: what a router learns then comes from peers that the store answers.
+     * [dataCentres] is the number of data centres that have routers.
      */
-    fun lastAt(now: Instant, dataCentres: Int): Instant? {
+    fun lastEndedAt(now: Instant, dataCentres: Int): Instant? {
         val current = pruned(now)
-        val ongoing = current.failing.mapValues { now }
-        val all = current.ended + ongoing
-        val own = all.filterKeys { it.name == self }
-        val believed = all.keys.map { it.dataCentre }.distinct().size >= minOf(MIN_DATA_CENTRES, dataCentres)
-        return (if (believed) all else own).values.maxOrNull()
+        val reporting = (current.failing.keys + current.ended.keys).map { it.dataCentre }.distinct().size
+        val believed = reporting >= minOf(MIN_DATA_CENTRES, dataCentres)
+        return current.ended.filterKeys { believed || it.name == self }.values.maxOrNull()
     }
 
     private companion object {
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
@@ -7,6 +7,7 @@
 import java.time.Instant
 
 private const val REREGISTRATION_MILLISECONDS = 2_200L
+private const val MAX_GRACE_MILLISECONDS = 1_700L
 
 /**
  * Endpoints that stay in use for a grace period although their store entries have expired.
@@ -29,21 +30,24 @@
     /** How long live servers may take to register again after a store outage. */
     private val reregistrationTime: Duration = Duration.ofMillis(REREGISTRATION_MILLISECONDS)
 
+    /** Less than the time for which a leaving server serves on, since one may leave just after an outage. */
+    private val maxGrace: Duration = Duration.ofMillis(MAX_GRACE_MILLISECONDS)
+
     /**
      * Applies a change of the entries from [before] to [after] at [now].
      *
-     * @param storeOutageAt the time of the last store outage, [now] if it goes on; null if there was none
+     * @param outageEndedAt the end of the last store outage; null if there was none
      */
     fun update(
         state: RemovalGrace,
         before: Map<EndpointName, Endpoint>,
         after: Map<EndpointName, Endpoint>,
-        storeOutageAt: Instant?,
+        outageEndedAt: Instant?,
         now: Instant,
     ): RemovalGrace {
         val kept = state.expiresAt.filter { (endpoint, expiresAt) -> now < expiresAt && endpoint.name !in after }
         val removed = before.values.filter { it.name !in after && !it.draining }
-        val expiresAt = storeOutageAt?.plus(reregistrationTime)?.takeIf { now < it }
+        val expiresAt = outageEndedAt?.plus(reregistrationTime)?.takeIf { now < it }?.coerceAtMost(now + maxGrace)
         val added = if (expiresAt == null) emptyMap() else removed.associateWith { expiresAt }
         return RemovalGrace(persistentMapOf<Endpoint, Instant>().putAll(kept + added))
     }
--- a/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/routing/RemovalPolicyTest.kt
@@ -47,6 +47,12 @@
         expectThat(change(all, emptyMap(), now).activeEndpoints(now).size).isEqualTo(8)
     }
 
+    @Test
+    fun `an endpoint that leaves just after an outage is not used for as long as it serves on`() {
+        val grace = change(all, all - EndpointName("e1"), recoveredAt = now)
+        expectThat(grace.activeEndpoints(now.plusMillis(1_700))).isEmpty()
+    }
+
     @Test
     fun `an outage that ended long ago gives no grace period`() {
         expectThat(change(all, entries(5, 6, 7, 8), now.minusMillis(2_200)).activeEndpoints(now)).isEmpty()
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -99,7 +99,7 @@
     var onNewerConfiguration: (PeerAddress) -> Unit = {}
 
     init {
-        view.endpoints.storeOutageAt = outages::lastOutageAt
+        view.endpoints.storeOutageEndedAt = outages::lastOutageEndedAt
     }
 
     /** Starts receiving and sending status messages. */
--- a/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
@@ -23,10 +23,10 @@
         report(self, Duration.ZERO)
     }
 
-    /** The time of the last outage, the present if it goes on; null if there was none. */
-    fun lastOutageAt(): Instant? {
+    /** The end of the last outage; null if there was none. */
+    fun lastOutageEndedAt(): Instant? {
         report(self, store.failingFor)
-        return outages.lastAt(context.now(), dataCentreCount())
+        return outages.lastEndedAt(context.now(), dataCentreCount())
     }
 
     /** Records the report in a peer's latest status message. */
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -18,8 +18,8 @@
     /** The registered endpoints, by name. */
     val entries = KindView<Endpoint>(context, "endpoint")
 
-    /** Returns the time of the last outage of the store, the present if it goes on; null if there was none. */
-    var storeOutageAt: () -> Instant? = { null }
+    /** Returns the end of the last outage of the store; null if there was none. */
+    var storeOutageEndedAt: () -> Instant? = { null }
 
     private class WarmTime(val endpoint: Endpoint, val at: Instant)
 
@@ -29,14 +29,14 @@
 
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
-        val outageAt = storeOutageAt()
-        val next = RemovalPolicy.update(grace, known, current, outageAt, context.now())
+        val outageEndedAt = storeOutageEndedAt()
+        val next = RemovalPolicy.update(grace, known, current, outageEndedAt, context.now())
         (next.expiresAt.keys - grace.expiresAt.keys).forEach {
             context.log.record(
                 "endpoint_kept_without_entry",
                 "endpoint" to it.name,
                 "until" to next.expiresAt[it],
-                "outageAt" to outageAt,
+                "outageEndedAt" to outageEndedAt,
             )
         }
         grace = next
