Allow half a second for a removal to reach a router within the grace period

A grace period of 1.7 s after an outage left 0.3 s until drain_ms for a removal to reach a router by way of a peer.

--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
@@ -7,7 +7,7 @@
 import java.time.Instant
 
 private const val REREGISTRATION_MILLISECONDS = 2_200L
-private const val MAX_GRACE_MILLISECONDS = 1_700L
+private const val MAX_GRACE_MILLISECONDS = 1_500L
 
 /**
  * Endpoints that stay in use for a grace period although their store entries have expired.
