Stop gracefully when SIGTERM comes while the router starts

Callers of a router that got SIGTERM shortly after it had been started found their connection reset, without an answer, although it had accepted them. A router listens for callers before the rest of its start has ended, but its shutdown hook was installed only after that. Until then SIGTERM ended the process at once. Between the log lines "starting" and "started" of a router process lay 0.5 s, twice, on a busy machine.

The hook is installed before the start now. It waits for the end of the start, which needs no other process, and stops gracefully after it. A start that has failed is not stopped, so that the command still exits with status 1.

--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -21,6 +21,7 @@
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -89,15 +90,20 @@
         val router = Router(options, loop, formats(options, callerInterface), ::PlatformStore)
         val reloader = SettingsReloader(file, readOptions, ReloadHandler(router::reload, router::rejectReload))
         val stopLatch = CountDownLatch(1)
+        reloader.installSignalHandler(loop)
+        val starting = CoroutineScope(loop.dispatcher()).async { router.start() }
+        // Callers are accepted before the start has ended, so that a stop must not cut it short.
         val shutdownHook = Thread {
-            runBlocking { withContext(loop.dispatcher()) { router.stop() } }
+            runBlocking {
+                starting.join()
+                if (!starting.isCancelled) withContext(loop.dispatcher()) { router.stop() }
+            }
             stopLatch.countDown()
         }
+        Runtime.getRuntime().addShutdownHook(shutdownHook)
         return try {
-            reloader.installSignalHandler(loop)
-            runBlocking { withContext(loop.dispatcher()) { router.start() } }
+            runBlocking { starting.await() }
             CoroutineScope(loop.dispatcher()).launch { reloader.watchFile() }
-            Runtime.getRuntime().addShutdownHook(shutdownHook)
             loop.terminationFuture().addListener { exitAfterFatalError() }
             stopLatch.await()
             0
--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -40,6 +40,9 @@
     /** What the process has written. */
     val log: String get() = output.readText()
 
+    /** Sends SIGTERM. */
+    fun terminate() = process.destroy()
+
     override fun close() {
         process.destroyForcibly().waitFor(EXIT_SECONDS, TimeUnit.SECONDS)
         output.delete()
