Write the last log lines of a router before its process ends

The line "stopped" of a router process was missing: the thread that writes the log collects lines for 20 ms and ends with the process, so that what was recorded in the last moments of a stop was lost. Among it are the refusals of requests that did not end within the grace period, without which a request that was cut off can't be told from one that was answered.

The stop waits until the queue is written, for 100 ms at most, so that a slow reader of the output doesn't hold it. EarlyStopTest looks for the line: it failed without the change ("stopped" not found), passes with it.

--- a/daemon/src/test/kotlin/comfreypath/daemon/EarlyStopTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/EarlyStopTest.kt
@@ -23,6 +23,17 @@
         }
     }
 
+    /** Lines were lost that a process had queued just before its end. */
+    @Test
+    fun `the last log lines of a router that stops are written`() = PlatformFixture().run {
+        RouterProcess(fleet.storeAddress).use { process ->
+            eventually("the process has started") { "\"started\"" in process.log }
+            process.terminate()
+            eventually("the process stops") { !process.alive }
+            expectThat(process.log).contains("\"stopped\"")
+        }
+    }
+
     /** Connects as soon as [process] listens. */
     private fun connect(process: RouterProcess): Socket {
         val deadline = System.nanoTime() + START_TIMEOUT.toNanos()
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -53,6 +53,9 @@
 /** The part of the grace period that is reserved for closing everything after the drain. */
 private const val EXIT_RESERVE_MILLISECONDS = 350L
 
+/** How long the process waits for its last log lines to be written; a slow reader of the output must not hold it. */
+private const val LOG_WRITE_LIMIT_MILLISECONDS = 100L
+
 /** The adapters for the wire formats of callers and endpoints. */
 class WireFormats(val callers: CallerDialect, val endpoints: EndpointDialect)
 
@@ -208,6 +211,7 @@
         viewUpdater.stop()
         context.tracing.stop()
         context.scope.cancel()
+        log.awaitWritten(LOG_WRITE_LIMIT)
     }
 
     /** Stops at once like a crash, aborting the requests in progress. */
@@ -231,5 +235,6 @@
     private companion object {
         val DRAIN_NOTICE: Duration = Duration.ofMillis(DRAIN_NOTICE_MILLISECONDS)
         val EXIT_RESERVE: Duration = Duration.ofMillis(EXIT_RESERVE_MILLISECONDS)
+        val LOG_WRITE_LIMIT: Duration = Duration.ofMillis(LOG_WRITE_LIMIT_MILLISECONDS)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
@@ -1,11 +1,15 @@
 package comfreypath.router.telemetry
 
 import comfreypath.coordination.model.InstanceName
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import org.tinylog.kotlin.Logger
+import java.time.Duration
 import java.time.InstantSource
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 private const val MAX_QUEUED_LINES = 4_096
@@ -13,6 +17,8 @@
 /** The time in which lines are collected for one write. It is the most that a crash of the process loses. */
 private const val BATCHING_MILLISECONDS = 20L
 
+private const val POLL_MILLISECONDS = 5L
+
 /**
  * Writes one JSON line per event. A dedicated thread writes the queued lines. While the queue is full, lines are
  * dropped and counted, so that a slow reader of the output never blocks requests.
@@ -22,6 +28,9 @@
     private val droppedLines = AtomicLong()
     private var reportedDrops = 0L
 
+    /** Counts a queued line until it is written. */
+    private val unwrittenLines = AtomicInteger()
+
     init {
         Thread(::write, "event-log").apply { isDaemon = true }.start()
     }
@@ -44,11 +53,20 @@
                 }
             }
         }
+        unwrittenLines.incrementAndGet()
         if (!lines.offer(line.toString())) {
+            unwrittenLines.decrementAndGet()
             droppedLines.incrementAndGet()
         }
     }
 
+    /** Waits until all queued lines are written, but not longer than [limit]. */
+    suspend fun awaitWritten(limit: Duration) {
+        withTimeoutOrNull(limit.toMillis()) {
+            while (unwrittenLines.get() > 0) delay(POLL_MILLISECONDS)
+        }
+    }
+
     private fun write() {
         val batch = ArrayList<String>()
         while (true) {
@@ -56,6 +74,7 @@
             Thread.sleep(BATCHING_MILLISECONDS)
             lines.drainTo(batch)
             Logger.info(batch.joinToString("\n"))
+            unwrittenLines.addAndGet(-batch.size)
             batch.clear()
             val drops = dropped
             if (drops > reportedDrops && lines.isEmpty()) {
