Name the reason when a small request is refused in RouterMemoryTest

The log of the router's process was gone, so that it can't be told whether memory or the load of the one endpoint with its 16 slots refused it. The failure now carries the lines of the log about the request. The check itself is unchanged.

--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterMemoryTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterMemoryTest.kt
@@ -42,8 +42,17 @@
             caller.call(process.callerAddress, PlatformRequest("book", id, body = ByteArray(bodyLength)))
                 .fold({ it.status }, { null })
 
+        /** The lines of the log about a request that was not served. */
+        private suspend fun linesOf(id: String, status: Int?): List<String> {
+            if (status == 200) return emptyList()
+            delay(LOG_DELAY_MILLISECONDS)
+            return process.log.lines().filter { "\"$id\"" in it }
+        }
+
         suspend fun expectSmallRequestsAnswered(label: String) = repeat(SMALL_REQUESTS) {
-            expectThat(status("small-$label-$it")).describedAs("small request $it, $label").isEqualTo(200)
+            val id = "small-$it-$label"
+            val status = status(id)
+            expectThat(status).describedAs("small request $it, $label: ${linesOf(id, status)}").isEqualTo(200)
             delay(PAUSE_MILLISECONDS)
         }
     }
@@ -94,5 +103,6 @@
         const val LONG_BODY_BYTES = 400_000
         const val SMALL_REQUESTS = 20
         const val PAUSE_MILLISECONDS = 25L
+        const val LOG_DELAY_MILLISECONDS = 200L
     }
 }
