Don't take an old refusal without an id for the answer to a running booking

Cause: EndpointSender took each response without an id for the answer to the request in progress, whatever the connection had carried before.

Change: ResponseOwnership decides whose response has arrived. A refusal with the request's id is believed, one with another id skipped; one without an id is believed on a new connection, or if the request may be repeated. Otherwise it is UNIDENTIFIED_REFUSAL: 502, may have run, and the connection is closed.

AttemptOutcomeTextTest gains the text of the new reason; no check is removed.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -37,6 +37,9 @@
     /** More arrived that belongs to other requests than allowed. */
     TOO_MUCH_FOREIGN,
 
+    /** A refusal without the request's ID, which may be a copy of an earlier one, arrived on a kept connection. */
+    UNIDENTIFIED_REFUSAL,
+
     /** The body was longer than allowed. */
     BODY_TOO_LONG,
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -34,6 +34,7 @@
             "Unknown(reason=FRAMING_TOO_LONG)",
             "Unknown(reason=TOO_MANY_INTERIM_RESPONSES)",
             "Unknown(reason=TOO_MUCH_FOREIGN)",
+            "Unknown(reason=UNIDENTIFIED_REFUSAL)",
             "Unknown(reason=BODY_TOO_LONG)",
             "Unknown(reason=OUT_OF_MEMORY)",
             "Unknown(reason=EVENT_TOO_LONG)",
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -19,6 +19,7 @@
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
         UnknownReason.SLOW, UnknownReason.OUT_OF_MEMORY -> null
+        UnknownReason.UNIDENTIFIED_REFUSAL -> HealthEvidence.FULL
         UnknownReason.FRAMING_TOO_LONG,
         UnknownReason.TOO_MANY_INTERIM_RESPONSES,
         UnknownReason.TOO_MUCH_FOREIGN,
@@ -33,6 +34,6 @@
 internal fun AttemptOutcome.toAttemptResult(): AttemptResult? = when (this) {
     is AttemptOutcome.Answered ->
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) AttemptResult.ANSWERED else AttemptResult.FAILED
-    is AttemptOutcome.Unknown -> AttemptResult.LOST
+    is AttemptOutcome.Unknown -> AttemptResult.LOST.takeIf { reason != UnknownReason.UNIDENTIFIED_REFUSAL }
     is AttemptOutcome.NotRun, is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> null
 }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -20,6 +20,10 @@
     private val activity: ResponseActivity,
 ) {
     private var open = true
+    private var retired = false
+
+    /** Whether the request is the first one on its connection. */
+    val firstOnConnection: Boolean get() = connection.exchanges == 1
 
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart {
@@ -27,9 +31,16 @@
         return connection.next().also { if (it !is ResponsePart.Aborted) activity.recordHeard() }
     }
 
+    /** Lets the connection carry no further request after this one. */
+    fun retire() {
+        retired = true
+    }
+
     /** Returns the connection to the pool after a complete response. The endpoint closes it after [idleTimeout]. */
     fun complete(idleTimeout: Duration?) {
-        if (end()) {
+        if (retired) {
+            close()
+        } else if (end()) {
             val idleTime = idleTimeout?.let { Duration.ofMillis((it.toMillis() * REUSABLE_IDLE_SHARE).toLong()) }
             pool.release(connection, idleTime ?: Duration.ofSeconds(DEFAULT_IDLE_SECONDS), MAX_IDLE_CONNECTIONS)
         }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -2,6 +2,9 @@
 
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.verdict.AttemptOutcome
+import comfreypath.coordination.verdict.AwaitedResponse
+import comfreypath.coordination.verdict.ResponseOwner
+import comfreypath.coordination.verdict.ResponseOwnership
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.router.RouterContext
 import comfreypath.router.request.CallerRequest
@@ -25,6 +28,9 @@
 private const val MAX_UNUSED_CONNECTIONS = 2
 private const val MAX_IDLE_NON_REPEATABLE_MILLISECONDS = 250L
 
+/** Below any time that a connection can have been idle, so that a new one is opened. */
+private const val NO_IDLE_MILLISECONDS = -1L
+
 /** The result of sending a request and waiting for the response head. */
 sealed interface SendResult {
     /** The attempt ended without a response. */
@@ -58,6 +64,8 @@
      */
     private val maxIdleTimeNonRepeatable = Duration.ofMillis(MAX_IDLE_NON_REPEATABLE_MILLISECONDS)
 
+    private val noIdleTime = Duration.ofMillis(NO_IDLE_MILLISECONDS)
+
     /** Sends [request] according to [plan] within [limits], and waits for the response head. */
     suspend fun send(
         request: CallerRequest,
@@ -67,7 +75,7 @@
     ): SendResult {
         val deadline = limits.deadline
         val address = Address(plan.endpoint.host, plan.endpoint.port)
-        val idleLimit = if (limits.repeatable) maxIdleTime else maxIdleTimeNonRepeatable
+        val idleLimit = idleLimit(plan, limits)
         val connectTimeout = minOf(context.options.timeouts.connect, Duration.between(context.now(), deadline))
         if (connectTimeout.toMillis() <= 0) {
             return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed"))
@@ -80,18 +88,27 @@
                     val cause = if (limits.wanted()) "the deadline has passed" else "the caller has left"
                     SendResult.Failed(AttemptOutcome.NotSent(cause))
                 } else {
-                    exchange(request, plan.copy(timeLeft = timeLeft), acquired.connection, deadline, activity)
+                    exchange(request, plan.copy(timeLeft = timeLeft), acquired.connection, limits, activity)
                 }
             },
             failure = { SendResult.Failed(AttemptOutcome.NotSent("connect: ${it.cause}")) },
         )
     }
 
+    private fun idleLimit(plan: SendPlan, limits: SendLimits): Duration {
+        val refusedWithoutIdAt = tracker.entry(plan.endpoint.name).refusedWithoutIdAt
+        return when {
+            ResponseOwnership.needsNewConnection(limits.repeatable, refusedWithoutIdAt, context.now()) -> noIdleTime
+            limits.repeatable -> maxIdleTime
+            else -> maxIdleTimeNonRepeatable
+        }
+    }
+
     private suspend fun exchange(
         request: CallerRequest,
         plan: SendPlan,
         connection: HttpConnection,
-        deadline: Instant,
+        limits: SendLimits,
         activity: ResponseActivity,
     ): SendResult {
         val entry = tracker.entry(plan.endpoint.name)
@@ -109,8 +126,9 @@
         entry.recordSent(sentAt)
         var responded = false
         try {
-            val timeLeft = Duration.between(sentAt, deadline).toMillis()
-            val result = withTimeoutOrNull(timeLeft) { awaitHead(request, connection, exchange) }
+            val timeLeft = Duration.between(sentAt, limits.deadline).toMillis()
+            val awaited = AwaitedResponse(request.id, limits.repeatable, exchange.firstOnConnection)
+            val result = withTimeoutOrNull(timeLeft) { awaitHead(awaited, plan, connection, exchange) }
                 ?: SendResult.Failed(AttemptOutcome.Unknown(UnknownReason.TIMED_OUT))
             responded = result is SendResult.Responding
             if (responded) activity.recordHeard()
@@ -124,9 +142,10 @@
         }
     }
 
-    /** Waits for the head of the response to [request], skipping late responses to other requests. */
+    /** Waits for the head of the [awaited] response, skipping late responses to other requests. */
     private suspend fun awaitHead(
-        request: CallerRequest,
+        awaited: AwaitedResponse,
+        plan: SendPlan,
         connection: HttpConnection,
         exchange: EndpointExchange,
     ): SendResult {
@@ -138,7 +157,7 @@
                 is ResponsePart.Aborted ->
                     result = SendResult.Failed(AttemptOutcome.Unknown(part.reason.toUnknownReason()))
                 is ResponsePart.Head -> {
-                    result = matchHead(request, exchange, part)
+                    result = matchHead(awaited, plan, exchange, part)
                     foreignHeads += 1
                 }
                 is ResponsePart.Bytes -> foreignBytes += part.bytes.size
@@ -148,12 +167,37 @@
         return result ?: SendResult.Failed(AttemptOutcome.Unknown(UnknownReason.TOO_MUCH_FOREIGN))
     }
 
-    private fun matchHead(request: CallerRequest, exchange: EndpointExchange, part: ResponsePart.Head): SendResult? {
+    private fun matchHead(
+        awaited: AwaitedResponse,
+        plan: SendPlan,
+        exchange: EndpointExchange,
+        part: ResponsePart.Head,
+    ): SendResult? {
         val head = dialect.read(part.status, part.headers)
-        if (head.requestId == null || head.requestId == request.id) {
-            return SendResult.Responding(head, exchange)
+        val owner = ResponseOwnership.ownerOf(awaited, head.requestId, head.status, head.notRun)
+        if (!ResponseOwnership.keepsConnection(head.requestId)) {
+            exchange.retire()
+            if (head.notRun) tracker.entry(plan.endpoint.name).refusedWithoutIdAt = context.now()
+        }
+        return when (owner) {
+            ResponseOwner.THIS_REQUEST -> SendResult.Responding(head, exchange)
+            ResponseOwner.OTHER_REQUEST -> {
+                context.log.record(
+                    "answer_of_other_request",
+                    "request" to awaited.request,
+                    "answerTo" to head.requestId,
+                )
+                null
+            }
+            ResponseOwner.UNCERTAIN -> {
+                context.log.record(
+                    "refusal_not_believed",
+                    "request" to awaited.request,
+                    "endpoint" to plan.endpoint.name,
+                    "status" to head.status,
+                )
+                SendResult.Failed(AttemptOutcome.Unknown(UnknownReason.UNIDENTIFIED_REFUSAL))
+            }
         }
-        context.log.record("answer_of_other_request", "request" to request.id, "answerTo" to head.requestId)
-        return null
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -77,6 +77,9 @@
     var lastHeardAt: Instant = Instant.EPOCH
         private set
 
+    /** When the endpoint last refused a request without its ID; null if it never has. */
+    var refusedWithoutIdAt: Instant? = null
+
     /** Records that a part of a response arrived at [now]. */
     fun recordHeard(now: Instant) {
         lastHeardAt = now
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -43,6 +43,10 @@
     private var writing = false
     private var aborted = false
 
+    /** The number of requests that were sent on this connection, including the one in progress. */
+    var exchanges = 0
+        private set
+
     /** The method of the request in progress, from which the decoder derives whether the response has a body. */
     internal var method: HttpMethod = HttpMethod.GET
         private set
@@ -72,6 +76,7 @@
             return false
         }
         exchangeInProgress = true
+        exchanges += 1
         interimCount = 0
         method = head.method
         val message = DefaultFullHttpRequest(
