Let the stand-in servers leave and pause as the platform's servers do

What callers saw: a server that announces in its responses only that it leaves, and a server that asks a router for a pause with status 503 and Retry-After, could not be tested, since no stand-in behaved like that.

Change: a stand-in server announces that it leaves in all its responses (Server-Leaving), whatever the store says of it, and keeps serving. It refuses a request with any Retry-After value and then, for that many seconds, refuses all requests of the same sender as not run, with the time left, so that no refusal extends the pause; it counts them and serves other senders. A value that is no number of seconds, or zero, begins no pause. A restart under the same name ends both. Each received request records its sender, its time and whether its response announced the leaving.

--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
@@ -14,6 +14,7 @@
 import comfreypath.standins.ObjectStoreStandIn
 import comfreypath.standins.PlatformServerStandIn
 import comfreypath.transport.Address
+import comfreypath.transport.IncomingRequest
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
 import io.netty.channel.EventLoop
@@ -27,6 +28,8 @@
 /**
  * A fleet in one process, on loopback, that speaks the protocol of the users' platform: an object store, servers and
  * routers.
+ *
+ * @param senderOf identifies the router that sent a request to a server, for what servers count by sender
  */
 class PlatformFleet(
     private val routerCount: Int = 1,
@@ -34,6 +37,7 @@
     private val plainCount: Int = 2,
     private val customizeRouter: (RouterOptions) -> RouterOptions = { it },
     private val endpointDialect: EndpointDialect = PlatformEndpointDialect(),
+    private val senderOf: (IncomingRequest) -> String = { "" },
 ) {
     private val loops = eventLoops("platform-fleet", THREAD_COUNT)
 
@@ -94,7 +98,7 @@
 
     private suspend fun startServer(name: String, service: String, number: Int): RunningServer {
         val loop = loops.next()
-        val server = PlatformServerStandIn(loop, name)
+        val server = PlatformServerStandIn(loop, name, senderOf = senderOf)
         val address = withContext(loop.dispatcher()) { server.start(freeAddress()) }
         val endpoint = PlatformLayout.endpoint(name, service, number, address)
         return RunningServer(server, loop, endpoint)
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -17,6 +17,9 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
 
 private const val TOKENS_PER_EVENT = 7
 private const val RESTART_MILLISECONDS = 2_200L
@@ -38,6 +41,9 @@
  * @property truncateEvent makes [abortAfterEvents] abort streams in the middle of the next event
  * @property endAborted makes [abortAfterEvents] end streams with their last chunk instead of closing the connection
  * @property failResumed responds with status 500 to requests that resume a stream
+ * @property leaving announces in all responses that the server leaves; it keeps serving
+ * @property retryAfter the `Retry-After` value of the refusal with which a request begins a pause for its sender, which
+ * lasts for that many seconds; a value that is no such number begins none. Null to begin no more pauses
  * @property pauseAfterEvents makes each new stream pause once after this many events, for [pauseMilliseconds]
  * @property pauseMilliseconds how long a stream pauses after [pauseAfterEvents]
  */
@@ -56,33 +62,57 @@
     val pauseMilliseconds: Long = 0,
     val eventMilliseconds: Long? = null,
     val crashingPart: String? = null,
+    val leaving: Boolean = false,
+    val retryAfter: String? = null,
 )
 
-/** A request that a platform server stand-in received, and whether it ran. */
-class ReceivedRequest(val id: String, val request: IncomingRequest, val ran: Boolean)
+/**
+ * A request that a platform server stand-in received.
+ *
+ * @property sender who sent it, as far as the stand-in can tell
+ * @property ran whether it ran
+ * @property leaving whether its response announced that the server leaves
+ */
+class ReceivedRequest(
+    val id: String,
+    val request: IncomingRequest,
+    val sender: String,
+    val receivedAt: Instant,
+    val ran: Boolean,
+    val leaving: Boolean,
+)
 
 /**
  * Simulates one of the platform's servers. It streams events in response to requests with a model header, like a model
  * engine, and responds to other requests with a whole body, like a plain server.
  *
  * @property name the name under which the server is registered in the store
+ * @param senderOf identifies the sender of a request, since a pause holds for one sender only
  */
 class PlatformServerStandIn(
     private val loop: EventLoop,
     val name: String,
     private val eventMilliseconds: Long = 2,
     private val workMilliseconds: Long = 2,
+    private val clock: InstantSource = InstantSource.system(),
+    private val senderOf: (IncomingRequest) -> String = { "" },
 ) {
     private val restarts = CoroutineScope(loop.dispatcher() + SupervisorJob())
     private var server = newServer()
     private lateinit var boundAddress: Address
     private val requests = mutableListOf<ReceivedRequest>()
+    private val senderPauses = SenderPauses()
     private var faults = PlatformServerFaults()
     private var inFlight = 0
+    private val announcement: Map<String, String>
+        get() = if (faults.leaving) mapOf(PlatformHeaders.SERVER_LEAVING to "1") else emptyMap()
 
     /** The requests received so far, in order of arrival. */
     val receivedRequests: List<ReceivedRequest> get() = requests.toList()
 
+    /** The pauses that the server has asked for so far, in order of their beginning. */
+    val pauses: List<SenderPause> get() = senderPauses.all
+
     /** Listens on [address] and returns the bound address. */
     suspend fun start(address: Address): Address = server.start(address).also { boundAddress = it }
 
@@ -94,13 +124,16 @@
 
     private fun newServer() = HttpServer(loop, HttpServerOptions(maxBodyBytes = MAX_BODY_BYTES), ::handle)
 
-    /** Loses all connections like a crashed process, and listens on the same address again after a time. */
-    private fun crash() {
-        restarts.launch {
-            server.stop()
-            delay(RESTART_MILLISECONDS)
-            server = newServer().apply { start(boundAddress) }
-        }
+    /**
+     * Loses all connections like a process that ends, and listens on the same address again after [downtime], which
+     * must not be zero. The server is not leaving then, and its pauses have ended.
+     */
+    suspend fun restart(downtime: Duration = Duration.ofMillis(RESTART_MILLISECONDS)) {
+        server.stop()
+        delay(downtime.toMillis())
+        faults = faults.copy(leaving = false, retryAfter = null)
+        senderPauses.end()
+        server = newServer().apply { start(boundAddress) }
     }
 
     /** Replaces the faults. */
@@ -111,17 +144,22 @@
     private suspend fun handle(request: IncomingRequest, writer: ResponseWriter) {
         val id = request.headers.get(PlatformHeaders.REQUEST_ID).orEmpty()
         val expected = request.headers.get(PlatformHeaders.EXPECTED_ENDPOINT)
+        val sender = senderOf(request)
+        val now = clock.instant()
+        val retryAfter = senderPauses.refuse(sender, faults.retryAfter, now)
+        val refused = faults.refuse || retryAfter != null
         val misdirected = expected != null && expected != name
-        requests += ReceivedRequest(id, request, ran = !misdirected && !faults.refuse)
+        requests += ReceivedRequest(id, request, sender, now, ran = !misdirected && !refused, leaving = faults.leaving)
         when {
-            misdirected -> writer.respond(
-                HttpResponseStatus.MISDIRECTED_REQUEST,
-                mapOf(PlatformHeaders.ENDPOINT to name),
+            refused -> writer.respond(
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                mapOf(PlatformHeaders.NOT_RUN to "1", PlatformHeaders.REQUEST_ID to id) +
+                    listOfNotNull(retryAfter?.let { PlatformHeaders.RETRY_AFTER to it }) + announcement,
                 ByteArray(0),
             )
-            faults.refuse -> writer.respond(
-                HttpResponseStatus.SERVICE_UNAVAILABLE,
-                mapOf(PlatformHeaders.NOT_RUN to "1", PlatformHeaders.REQUEST_ID to id),
+            misdirected -> writer.respond(
+                HttpResponseStatus.MISDIRECTED_REQUEST,
+                mapOf(PlatformHeaders.ENDPOINT to name) + announcement,
                 ByteArray(0),
             )
             else -> run(request, id, writer)
@@ -139,7 +177,7 @@
                 PlatformHeaders.ENDPOINT to name,
                 PlatformHeaders.LOAD to "$inFlight,0,64",
                 "Keep-Alive" to "timeout=5",
-            ) + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
+            ) + announcement + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
             when {
                 faults.failing || faults.failResumed && request.resumesStream -> writer.respond(
                     HttpResponseStatus.INTERNAL_SERVER_ERROR,
@@ -166,7 +204,7 @@
         writer: ResponseWriter,
     ) {
         if (faults.crashingPart in request.sharedPromptParts) {
-            crash()
+            restarts.launch { restart() }
             awaitCancellation()
         }
         val first = (request.headers.get(PlatformHeaders.LAST_EVENT_ID)?.toIntOrNull() ?: 0) + 1
