Send nothing to endpoints that announce that they leave or ask for a pause

What callers saw: requests went on to servers that announced in every response that they leave, wherever the store did not say so too, and to servers that had refused with a pause. Callers were refused although other endpoints had room.

Cause: the leaving header was not read at all, and the pause of a refusal only became the caller's retry-after.

Change: AvailabilityPolicy decides, apart from input and output, from matched responses and the store's entries whether an incarnation of an endpoint is open, recovering, paused or leaving. The choice of endpoints asks it, and the sender asks it once more between acquiring a connection and writing. A request that is withheld there is chosen again; that counts neither as a refusal nor as a retry. Only a response that echoes the request's ID, is signed if it is a success, and names no other endpoint is believed. While all endpoints of a service are out, callers are refused at once, with the time until the first pause ends, spread over a second. After a pause a router's requests in flight at the endpoint are limited for a second, in steps. The connection that confirms a crash is not opened to an endpoint that is out.

The lists of header names, refusal codes, labels and metrics gain the new ones.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -7,6 +7,9 @@
     /** No byte of the request was sent. */
     data class NotSent(val reason: String) : AttemptOutcome
 
+    /** No byte was sent, since the endpoint had announced meanwhile that it takes no requests for now, or any more. */
+    data object Withheld : AttemptOutcome
+
     /** The endpoint refused the request: it has not run it and never will. */
     data class NotRun(val status: Int, val retryAfter: Duration?) : AttemptOutcome
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
@@ -44,7 +44,8 @@
 /**
  * Decides after each attempt whether to try another endpoint and, if not, what to report to the caller.
  *
- * A request that is not repeatable is retried only while every attempt is known not to have run.
+ * A request that is not repeatable is retried only while every attempt is known not to have run. A withheld attempt
+ * counts as none: another endpoint is chosen in the time that is left.
  *
  * @property maxRefusals the highest number of refusals after which the request is still retried
  */
@@ -59,6 +60,7 @@
         val next = when (outcome) {
             is AttemptOutcome.NotSent, is AttemptOutcome.NotRun, AttemptOutcome.WrongEndpoint ->
                 state.copy(refusals = state.refusals + 1, lastOutcome = outcome)
+            AttemptOutcome.Withheld -> state
             is AttemptOutcome.Unknown, is AttemptOutcome.Answered ->
                 state.copy(runs = state.runs + 1, lastOutcome = outcome)
         }
@@ -74,25 +76,29 @@
         val hasTime = Duration.between(now, state.deadline).toMillis() > MIN_ATTEMPT_MILLISECONDS
         val canRetry = hasTime && mayRetry
         return when (outcome) {
-            is AttemptOutcome.Answered -> {
-                val failed = outcome.status >= MIN_SERVER_ERROR_STATUS && state.route.repeatable
-                if (failed && canRetry && state.runs < state.route.maxAttempts) {
-                    RetryDecision.TryAnother
-                } else {
-                    RetryDecision.Deliver
-                }
-            }
+            is AttemptOutcome.Answered -> afterResponse(state, outcome, canRetry)
             is AttemptOutcome.Unknown ->
                 if (canRetry && state.route.repeatable && state.runs < state.route.maxAttempts) {
                     RetryDecision.TryAnother
                 } else {
                     RetryDecision.FailMayHaveRun
                 }
+            AttemptOutcome.Withheld -> if (canRetry) RetryDecision.TryAnother else giveUp(state)
             is AttemptOutcome.NotSent, is AttemptOutcome.NotRun, AttemptOutcome.WrongEndpoint ->
                 if (canRetry && state.refusals <= maxRefusals) RetryDecision.TryAnother else giveUp(state)
         }
     }
 
+    private fun afterResponse(
+        state: RetryState,
+        response: AttemptOutcome.Answered,
+        canRetry: Boolean,
+    ): RetryDecision {
+        val failed = response.status >= MIN_SERVER_ERROR_STATUS && state.route.repeatable
+        val retries = failed && canRetry && state.runs < state.route.maxAttempts
+        return if (retries) RetryDecision.TryAnother else RetryDecision.Deliver
+    }
+
     /** Returns what to report to the caller when no further endpoint is tried. */
     fun giveUp(state: RetryState): RetryDecision =
         if (state.runs > 0) RetryDecision.FailMayHaveRun else RetryDecision.RefuseNotRun
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -17,12 +17,14 @@
             AttemptOutcome.NotRun(503, Duration.ofMillis(350)),
             AttemptOutcome.NotRun(429, null),
             AttemptOutcome.WrongEndpoint,
+            AttemptOutcome.Withheld,
         )
         expectThat(texts).containsExactly(
             "NotSent(reason=connection refused)",
             "NotRun(status=503, retryAfter=PT0.35S)",
             "NotRun(status=429, retryAfter=null)",
             "WrongEndpoint",
+            "Withheld",
         )
     }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/RetryPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/RetryPolicyTest.kt
@@ -68,12 +68,25 @@
         expectThat(late.second).isEqualTo(RetryDecision.RefuseNotRun)
     }
 
+    @Test
+    fun `withheld attempts use up none of the refusals that a request may meet`() {
+        val initial = state(route(RouteKind.NON_IDEMPOTENT))
+        val (state, decision) = (1..20).fold(initial to RetryDecision.TryAnother as RetryDecision) { (state, _), _ ->
+            retryPolicy.decide(state, AttemptOutcome.Withheld, now, mayRetry = true)
+        }
+        expectThat(state).isEqualTo(initial)
+        expectThat(decision).isEqualTo(RetryDecision.TryAnother)
+        val late = retryPolicy.decide(initial, AttemptOutcome.Withheld, now.plusSeconds(4), mayRetry = true)
+        expectThat(late.second).isEqualTo(RetryDecision.RefuseNotRun)
+    }
+
     @Provide
     fun outcomes(): Arbitrary<List<AttemptOutcome>> = Arbitraries.of(
         lost,
         refused,
         AttemptOutcome.WrongEndpoint,
         AttemptOutcome.NotSent("connect"),
+        AttemptOutcome.Withheld,
         AttemptOutcome.Answered(200),
         AttemptOutcome.Answered(500),
         AttemptOutcome.Unknown(UnknownReason.TIMED_OUT),
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
@@ -11,8 +11,13 @@
 import comfreypath.transport.decodeJson
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import java.time.Duration
 
 private const val MISDIRECTED = 421
+private const val UNAVAILABLE = 503
+
+/** Ten years; longer pauses could overflow. */
+private const val MAX_PAUSE_MILLISECONDS = 315_360_000_000L
 private val HOP_BY_HOP_HEADERS = listOf("connection", "keep-alive", "transfer-encoding", "content-length")
 
 /** Encodes requests to the engines and plain services of the OpenAI-style interface and reads their responses. */
@@ -29,7 +34,17 @@
         return RequestHead(request.method, request.uri, headers)
     }
 
-    override fun read(status: Int, headers: HttpHeaders): EndpointResponseHead = EndpointResponseHead(
+    override fun read(status: Int, headers: HttpHeaders): EndpointResponseHead {
+        val pauseText = headers.get(OpenAiHeaders.PAUSE).takeIf { status == UNAVAILABLE }
+        val pause = pauseText?.toLongOrNull()?.takeIf { it in 0..MAX_PAUSE_MILLISECONDS }?.let { Duration.ofMillis(it) }
+        return readHead(status, headers).copy(
+            leaving = headers.contains(OpenAiHeaders.LEAVING),
+            pause = pause,
+            unreadablePause = pauseText.takeIf { pause == null },
+        )
+    }
+
+    private fun readHead(status: Int, headers: HttpHeaders) = EndpointResponseHead(
         status = status,
         genuine = true,
         requestId = headers.get(OpenAiHeaders.REQUEST_ID)?.let { RequestId(it) },
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiHeaders.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiHeaders.kt
@@ -20,6 +20,12 @@
     /** Present if an endpoint has not run the request and never will. */
     const val NOT_RUN = "comfreypath-not-run"
 
+    /** Present on all responses of an endpoint that leaves. */
+    const val LEAVING = "comfreypath-leaving"
+
+    /** How long an endpoint that refuses with status 503 asks for no requests, in milliseconds. */
+    const val PAUSE = "comfreypath-pause"
+
     /** The ID of the last event of a stream that the sender has received. */
     const val LAST_EVENT_ID = "last-event-id"
 
--- a/openai/src/test/kotlin/comfreypath/openai/OpenAiHeadersTest.kt
+++ b/openai/src/test/kotlin/comfreypath/openai/OpenAiHeadersTest.kt
@@ -16,6 +16,8 @@
             "comfreypath-endpoint",
             "comfreypath-team",
             "comfreypath-not-run",
+            "comfreypath-leaving",
+            "comfreypath-pause",
             "last-event-id",
             "idempotency-key",
             "idempotency-replayed",
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -185,6 +185,7 @@
         delay(SWEEP_INTERVAL_MILLISECONDS)
         pool.sweep()
         endpointTracker.retain { view.endpoints.isUsable(it) }
+        endpointTracker.announcements.sweep(view.endpoints::isUsable)
     }
 
     /** Stops gracefully: reports not ready, drains, and closes all servers within the grace period. */
--- a/router/src/main/kotlin/comfreypath/router/evidence/AttemptEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/evidence/AttemptEvidence.kt
@@ -67,7 +67,7 @@
         when (outcome) {
             is AttemptOutcome.Answered ->
                 if (HttpStatusClass.valueOf(outcome.status) == HttpStatusClass.SUCCESS) guard.answerBegan(parts)
-            is AttemptOutcome.NotSent -> guard.unanswered(parts, sent = false)
+            is AttemptOutcome.NotSent, AttemptOutcome.Withheld -> guard.unanswered(parts, sent = false)
             is AttemptOutcome.Unknown -> if (outcome.reason == UnknownReason.CONNECTION_LOST) {
                 watcher.connectionLost(endpoint, parts)
                 guard.unanswered(parts, sent = true)
--- a/router/src/main/kotlin/comfreypath/router/evidence/CrashWatcher.kt
+++ b/router/src/main/kotlin/comfreypath/router/evidence/CrashWatcher.kt
@@ -78,6 +78,7 @@
     /** Why the loss is probably not a crash; null if it is one. */
     private suspend fun contradiction(endpoint: Endpoint, loss: Loss): String? = when {
         isDraining(endpoint.name) -> "draining"
+        !endpoints.announcements.of(endpoint).allowsRequests -> "pauses or leaves"
         endpoints.entry(endpoint.name).respondedSince(loss.at) -> "responds"
         else -> connector.connect(Address(endpoint.host, endpoint.port), context.options.timeouts.connect).fold(
             success = { connection ->
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -71,6 +71,12 @@
                 is SelectionResult.Selected -> tryEndpoint(selected.selection)
                 is SelectionResult.Overloaded ->
                     finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
+                is SelectionResult.AllOut -> {
+                    val timeLeft = Duration.between(context.now(), state.deadline)
+                    val refusal = RelayRefusals.allOut(selected, timeLeft, request.jitter)
+                    log.allOut(route.name, selected, refusal.retryAfter)
+                    finish(retryPolicy.giveUp(state), rejection = refusal)
+                }
                 SelectionResult.NoEndpoint ->
                     finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
             }
@@ -91,6 +97,7 @@
         val ifRetryAllowed = retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = true)
         val leaves = attempt.outcome.leavesSilentEndpoint
         if (leaves) targets.recordLeft(selection.endpoint.name)
+        if (attempt.outcome == AttemptOutcome.Withheld) targets.recordWithheld(selection.endpoint.name)
         val allowed =
             leaves || ifRetryAllowed.second != RetryDecision.TryAnother || acquireRetry(selection, attempt.outcome)
         val (next, decision) =
@@ -130,7 +137,8 @@
 
     /** Acquires a retry from the budget. A retry after an attempt that never reached a server costs nothing. */
     private fun acquireRetry(selection: Selection, outcome: AttemptOutcome): Boolean =
-        outcome is AttemptOutcome.NotSent || dependencies.trackers.retries.tryAcquire(selection.endpoint.service)
+        outcome is AttemptOutcome.NotSent || outcome == AttemptOutcome.Withheld ||
+            dependencies.trackers.retries.tryAcquire(selection.endpoint.service)
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
         outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
@@ -259,6 +267,13 @@
         return Refusal(RefusalCode.OVERLOADED, detail, rejection.retryAfter)
     }
 
+    /** The refusal while every endpoint pauses or leaves; the request has not run and will not. */
+    fun allOut(out: SelectionResult.AllOut, timeLeft: Duration, jitter: Double) = Refusal(
+        RefusalCode.ALL_ENDPOINTS_OUT,
+        "every endpoint of the service pauses or leaves",
+        RetryAfterPolicy.whenAllAreOut(out.untilFirstReturn, timeLeft, jitter),
+    )
+
     /** The refusal of a request with a part that may crash endpoints; the request has not run and will not. */
     fun suspectedPart(held: PartAdmission.Refused) = Refusal(
         RefusalCode.SUSPECTED_PART,
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -17,13 +17,20 @@
     val hasReserved: Boolean get() = reserved != null
 
     /** True until the first attempt has begun. */
-    val untried: Boolean get() = tried.isEmpty()
+    var untried = true
+        private set
 
     /** Records that an attempt at the endpoint called [name] begins. */
     fun recordTried(name: EndpointName) {
+        untried = false
         tried += name
     }
 
+    /** Records that nothing was sent to the endpoint called [name], so that it counts as not tried. */
+    fun recordWithheld(name: EndpointName) {
+        tried -= name
+    }
+
     /** Records that the request left the endpoint called [name] because it was silent. */
     fun recordLeft(name: EndpointName) {
         left += name
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -50,6 +50,9 @@
  * @property endpoint the endpoint that responded; null if not reported
  * @property load the load of the endpoint; null if not reported
  * @property idleTimeout how long the endpoint keeps an idle connection open; null if not reported
+ * @property leaving true when the endpoint announces that it leaves
+ * @property pause how long the endpoint, which refuses the request, asks for no others; null if it does not
+ * @property unreadablePause the text in place of a pause that is no usable time; null if there is none
  * @property forwardedHeaders the headers that are passed on to the caller
  */
 data class EndpointResponseHead(
@@ -64,6 +67,9 @@
     val retryAfter: Duration?,
     val contentLength: Long?,
     val forwardedHeaders: HttpHeaders,
+    val leaving: Boolean = false,
+    val pause: Duration? = null,
+    val unreadablePause: String? = null,
 )
 
 /** The load that an endpoint reports: requests running, requests waiting, and how many it can run at once. */
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -49,6 +49,13 @@
     /** No endpoint can take the request. */
     data object NoEndpoint : SelectionResult
 
+    /**
+     * Every endpoint of the service has asked for a pause or has announced that it leaves.
+     *
+     * @property untilFirstReturn the time until the first pause ends; null if all leave
+     */
+    data class AllOut(val paused: Int, val leaving: Int, val untilFirstReturn: Duration?) : SelectionResult
+
     /** Admission control refused the request because every endpoint is full. */
     class Overloaded(val admission: Admission.Refused) : SelectionResult
 }
@@ -87,6 +94,7 @@
     private val promptEndpoints = PromptEndpointCache()
     private val cold = ColdAdmission()
     private val overload = OverloadPolicy()
+    private val gate = EndpointGate(context, view, trackers.endpoints.announcements)
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
@@ -96,11 +104,12 @@
         val service = exchange.route.serviceFor(requestHash)
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
         val candidates = candidates(exchange, registered, excluded, context.now())
+        val allOut = if (candidates.isEmpty()) gate.allOut(registered) else null
         val admission = service?.let { admission(exchange, it, candidates) }
-        return if (admission is Admission.Refused) {
-            SelectionResult.Overloaded(admission)
-        } else {
-            place(exchange, registered, candidates, requestHash)?.let { SelectionResult.Selected(it) }
+        return when {
+            admission is Admission.Refused -> SelectionResult.Overloaded(admission)
+            allOut != null -> allOut
+            else -> place(exchange, registered, candidates, requestHash)?.let { SelectionResult.Selected(it) }
                 ?: SelectionResult.NoEndpoint
         }
     }
@@ -159,10 +168,11 @@
         excluded: Set<EndpointName>,
         now: Instant,
     ): List<Candidate> {
-        val available = registered.filter { it.name !in excluded && acceptsRequests(it) && admitsIfCold(it, now) }
+        val available = registered.filter { it.name !in excluded && gate.accepts(it) && admitsIfCold(it, now) }
         val eligible = trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
-        val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
-            .ifEmpty { eligible }
+        val unlimited = trackers.endpoints.withinLimits(eligible)
+        val responsive = unlimited.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
+            .ifEmpty { unlimited }
         return HealthFilter.usable(responsive, now) { trackers.endpoints.entry(it.name).health }.map { endpoint ->
             Candidate(endpoint, trackers.endpoints.entry(endpoint.name).nameHash, loads.of(endpoint))
         }
@@ -170,7 +180,7 @@
 
     /** True if the endpoint of an earlier [selection] is still registered and accepts requests. */
     fun accepts(selection: Selection): Boolean =
-        view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && acceptsRequests(it) }
+        view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && gate.accepts(it) }
 
     /** Places a request with a prompt; more evenly while the endpoints of some versions get few requests. */
     private fun placeByPrompt(registered: List<Endpoint>, candidates: List<Candidate>, prefixId: Long): Candidate? {
@@ -183,9 +193,6 @@
         }
     }
 
-    private fun acceptsRequests(endpoint: Endpoint): Boolean =
-        !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
-
     /** False if the endpoint is cold and this router may not send to it or has used up its share of the rate. */
     private fun admitsIfCold(endpoint: Endpoint, now: Instant): Boolean {
         val rate = view.configuration.current?.value?.services?.get(endpoint.service)?.coldRequestsPerSecond ?: 0.0
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -16,6 +16,7 @@
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) HealthEvidence.ANSWERED else HealthEvidence.FAILED
     is AttemptOutcome.NotRun -> HealthEvidence.FULL
     is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
+    AttemptOutcome.Withheld -> null
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
         UnknownReason.SLOW, UnknownReason.OUT_OF_MEMORY -> null
@@ -34,5 +35,5 @@
     is AttemptOutcome.Answered ->
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) AttemptResult.ANSWERED else AttemptResult.FAILED
     is AttemptOutcome.Unknown -> AttemptResult.LOST
-    is AttemptOutcome.NotRun, is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> null
+    is AttemptOutcome.NotRun, is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint, AttemptOutcome.Withheld -> null
 }
--- a/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
@@ -43,6 +43,9 @@
     /** No endpoint is available, or none could be reached. */
     NO_ENDPOINT(status = 503, text = "no_endpoint"),
 
+    /** Every endpoint of the service has asked for a pause or has announced that it leaves. */
+    ALL_ENDPOINTS_OUT(status = 503, text = "all_endpoints_out"),
+
     /** Every endpoint is full, or those that were tried refused the request. */
     OVERLOADED(status = 503, text = "overloaded"),
 
--- a/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
@@ -7,7 +7,7 @@
 import java.time.Duration
 import java.time.Instant
 
-/** Logs what happens to the response of one request while it is relayed. */
+/** Logs, and counts, what happens to one request while it is relayed. */
 internal class RelayLog(private val context: RouterContext, private val request: CallerRequest) {
     /** The request stays at a silent endpoint. */
     fun waitingOn(endpoint: EndpointName, reason: WaitReason, silentSince: Instant?) = context.log.record(
@@ -18,6 +18,20 @@
         "silentMs" to silentSince?.let { Duration.between(it, context.now()).toMillis() },
     )
 
+    /** Every endpoint of the service pauses or leaves, so that the request is refused. */
+    fun allOut(route: String, out: SelectionResult.AllOut, retryAfter: Duration?) {
+        context.metrics.allEndpointsOut.labelValues(route).inc()
+        context.log.record(
+            "all_endpoints_out",
+            "request" to request.id,
+            "route" to route,
+            "paused" to out.paused,
+            "leaving" to out.leaving,
+            "firstReturnMs" to out.untilFirstReturn?.toMillis(),
+            "retryAfterMs" to retryAfter?.toMillis(),
+        )
+    }
+
     /** An endpoint that had been silent has sent more of the response. */
     fun endpointWentOn(endpoint: EndpointName, silence: Duration) = context.log.record(
         "endpoint_went_on",
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -7,6 +7,7 @@
 import comfreypath.coordination.limits.TokenBucket
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.placement.hashOf
+import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
 import java.time.Duration
 import java.time.Instant
@@ -18,10 +19,17 @@
     private val entries = HashMap<EndpointName, EndpointEntry>()
     private val outlierDetector = OutlierDetector()
 
+    /** What endpoints have announced in their responses. */
+    val announcements = AnnouncementTracker(context)
+
     /** The entry of the endpoint called [name], created on first use. */
     fun entry(name: EndpointName): EndpointEntry =
         entries.getOrPut(name) { EndpointEntry(hashOf(name.text), context.now()) }
 
+    /** Leaves out [endpoints] that return from a pause and have enough requests, unless none would remain. */
+    fun withinLimits(endpoints: List<Endpoint>): List<Endpoint> =
+        announcements.withinLimits(endpoints) { entry(it.name).inFlight }
+
     /** Applies the evidence of an attempt to the endpoint's health, and logs ejections and recoveries. */
     fun observe(name: EndpointName, evidence: HealthEvidence) {
         val entry = entry(name)
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -42,6 +42,17 @@
     /** Attempts at endpoints, by outcome. */
     val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
 
+    /** Announcements of endpoints in their responses, by kind: `leaving`, `pause` or `unreadable_pause`. */
+    val announcements: Counter =
+        counter("comfreypath_endpoint_announcements_total", "Announcements of endpoints.", "kind")
+
+    /** Endpoints that get no new requests because of what they announced, by state: `leaving` or `paused`. */
+    val endpointsOut: Gauge = gauge("comfreypath_endpoints_out", "Endpoints out by announcement.", "state")
+
+    /** Requests refused because every endpoint of their service pauses or leaves, by route. */
+    val allEndpointsOut: Counter =
+        counter("comfreypath_all_endpoints_out_total", "Requests refused as all endpoints pause or leave.", "route")
+
     /** Calls to the platform's store, by verb, kind and outcome. */
     val storeCalls: Counter = counter("comfreypath_store_calls_total", "Calls to the store.", "verb", "kind", "outcome")
 
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.view
 
+import comfreypath.coordination.availability.Incarnation
+import comfreypath.coordination.availability.incarnation
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.routing.Endpoint
@@ -63,6 +65,10 @@
         }
     }
 
+    /** True if [incarnation] has an entry, or is kept although its entry expired. */
+    fun isUsable(incarnation: Incarnation): Boolean = known[incarnation.name]?.incarnation == incarnation ||
+        grace.activeEndpoints(context.now()).any { it.incarnation == incarnation }
+
     /** True if the endpoint [name] is registered, or is kept although its entry expired. */
     fun isUsable(name: EndpointName): Boolean =
         name in known || grace.activeEndpoints(context.now()).any { it.name == name }
--- a/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
@@ -18,6 +18,7 @@
             "claims_unavailable" to 503,
             "not_ready" to 503,
             "no_endpoint" to 503,
+            "all_endpoints_out" to 503,
             "overloaded" to 503,
             "suspected_part" to 503,
             "expired" to 503,
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -7,6 +7,9 @@
 /** Guards against a changed name, label or help text of a metric, on which dashboards and alerts rely. */
 class RouterMetricsExpositionTest {
     private val expected = """
+        # HELP comfreypath_all_endpoints_out_total Requests refused as all endpoints pause or leave.
+        # TYPE comfreypath_all_endpoints_out_total counter
+        comfreypath_all_endpoints_out_total{route="r-1"} 12.0
         # HELP comfreypath_answered_total Requests answered.
         # TYPE comfreypath_answered_total counter
         comfreypath_answered_total{kind="streaming",status="200"} 1.0
@@ -25,6 +28,12 @@
         # HELP comfreypath_crashes_observed_total Crashes of endpoints observed.
         # TYPE comfreypath_crashes_observed_total counter
         comfreypath_crashes_observed_total 8.0
+        # HELP comfreypath_endpoint_announcements_total Announcements of endpoints.
+        # TYPE comfreypath_endpoint_announcements_total counter
+        comfreypath_endpoint_announcements_total{kind="pause"} 13.0
+        # HELP comfreypath_endpoints_out Endpoints out by announcement.
+        # TYPE comfreypath_endpoints_out gauge
+        comfreypath_endpoints_out{state="leaving"} 1.0
         # HELP comfreypath_in_progress Requests in progress.
         # TYPE comfreypath_in_progress gauge
         comfreypath_in_progress 4.0
@@ -82,6 +91,9 @@
     @Test
     fun `metrics have these names, labels and help texts`() {
         val metrics = RouterMetrics()
+        metrics.allEndpointsOut.labelValues("r-1").inc(12)
+        metrics.announcements.labelValues("pause").inc(13)
+        metrics.endpointsOut.labelValues("leaving").set(1.0)
         metrics.answered.labelValues("streaming", "200").inc()
         metrics.attempts.labelValues("Answered").inc(2)
         metrics.controlBytes.labelValues("sent").inc(3)
