--- a/daemon/src/test/kotlin/comfreypath/daemon/EndpointAnnouncementTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/EndpointAnnouncementTest.kt
@@ -70,6 +70,12 @@
         List(count) { async { call(PlatformRequest("book", "r${sent++}", body = ByteArray(1))) } }.awaitAll()
     }
 
+    /** A streamed request with a prompt of its own, so that no engine is preferred for its cache. */
+    private fun streamRequest(id: String, tokens: String): PlatformRequest {
+        val part = Integer.toHexString(id.hashCode())
+        return PlatformRequest("draft", id, tokens, headers = mapOf(PlatformHeaders.PROMPT_PARTS to "$part:8,1:8"))
+    }
+
     private fun ClientResponse.retryAfter() =
         Duration.ofMillis((headers.get(PlatformHeaders.RETRY_AFTER).toDouble() * MILLISECONDS_PER_SECOND).toLong())
 
@@ -107,6 +113,44 @@
             }
         }
 
+    @Test
+    fun `a stream whose head announces that the endpoint leaves is relayed to its end`() = PlatformFixture().run {
+        val streams = AtomicInteger()
+        val engine = RawEndpoint { request, socket ->
+            streams.incrementAndGet()
+            socket.receive(request.bodyLength)
+            val seal = PlatformServerStandIn.signature(request.id)
+            socket.send(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.id}\r\nX-Response-Seal: $seal\r\n" +
+                    "Server-Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            )
+            repeat(ROUND) { number ->
+                Thread.sleep(STEP_MILLISECONDS)
+                val event = PlatformServerStandIn.event(request.id, number + 1).decodeToString()
+                socket.send("${Integer.toHexString(event.length)}\r\n$event\r\n")
+            }
+            socket.send("0\r\n\r\n")
+        }
+        engine.use {
+            val registered = fleet.engines.first().endpoint
+            fleet.storeAdmin.register(
+                registered.copy(name = EndpointName("leaving"), host = engine.address.host, port = engine.address.port),
+            )
+            val tokens = "8,56"
+            eventually("a stream of the endpoint that leaves") {
+                val id = "stream-${sent++}"
+                val response = call(streamRequest(id, tokens))
+                expectThat(response).isNotNull().and {
+                    get { status }.isEqualTo(200)
+                    get { text() }.isEqualTo(expectedStream(id, tokens))
+                }
+                streams.get() > 0
+            }
+            repeat(ROUND) { call(streamRequest("stream-${sent++}", tokens)) }
+            expectThat(streams.get()).isEqualTo(1)
+        }
+    }
+
     @Test
     fun `an answer to another request does not take an endpoint out`() = PlatformFixture().run {
         val arrivals = AtomicInteger()
