--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.sending
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.AwaitedResponse
 import comfreypath.coordination.verdict.ResponseOwner
@@ -83,10 +84,10 @@
         return pool.acquire(address, idleLimit, connectTimeout).fold(
             success = { acquired ->
                 val timeLeft = Duration.between(context.now(), deadline)
-                if (timeLeft.toMillis() <= 0 || !limits.wanted()) {
+                val obstacle = obstacle(plan.endpoint, limits, timeLeft)
+                if (obstacle != null) {
                     pool.release(acquired.connection, maxIdleTime, MAX_UNUSED_CONNECTIONS)
-                    val cause = if (limits.wanted()) "the deadline has passed" else "the caller has left"
-                    SendResult.Failed(AttemptOutcome.NotSent(cause))
+                    SendResult.Failed(obstacle)
                 } else {
                     exchange(request, plan.copy(timeLeft = timeLeft), acquired.connection, limits, activity)
                 }
@@ -104,6 +105,14 @@
         }
     }
 
+    /** Why a request that has a connection is not sent after all; null if it is. */
+    private fun obstacle(endpoint: Endpoint, limits: SendLimits, timeLeft: Duration): AttemptOutcome? = when {
+        !limits.wanted() -> AttemptOutcome.NotSent("the caller has left")
+        timeLeft.toMillis() <= 0 -> AttemptOutcome.NotSent("the deadline has passed")
+        !tracker.announcements.of(endpoint).allowsRequests -> AttemptOutcome.Withheld
+        else -> null
+    }
+
     private suspend fun exchange(
         request: CallerRequest,
         plan: SendPlan,
@@ -174,6 +183,7 @@
         part: ResponsePart.Head,
     ): SendResult? {
         val head = dialect.read(part.status, part.headers)
+        tracker.announcements.observe(plan.endpoint, head, awaited.request)
         val owner = ResponseOwnership.ownerOf(awaited, head.requestId, head.status, head.notRun)
         if (!ResponseOwnership.keepsConnection(head.requestId)) {
             exchange.retire()
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -105,7 +105,7 @@
     private var faults = PlatformServerFaults()
     private var inFlight = 0
     private val announcement: Map<String, String>
-        get() = if (faults.leaving) mapOf(PlatformHeaders.SERVER_LEAVING to "1") else emptyMap()
+        get() = if (faults.leaving) mapOf(PlatformHeaders.LEAVING to "1") else emptyMap()
 
     /** The requests received so far, in order of arrival. */
     val receivedRequests: List<ReceivedRequest> get() = requests.toList()
--- a/stand-ins/src/test/kotlin/comfreypath/standins/PlatformServerStandInTest.kt
+++ b/stand-ins/src/test/kotlin/comfreypath/standins/PlatformServerStandInTest.kt
@@ -47,7 +47,7 @@
             ),
         ).getOrElse { error("no response to $id: $it") }
 
-    private val ClientResponse.leaving: String? get() = headers.get(PlatformHeaders.SERVER_LEAVING)
+    private val ClientResponse.leaving: String? get() = headers.get(PlatformHeaders.LEAVING)
     private val ClientResponse.retryAfter: String? get() = headers.get(PlatformHeaders.RETRY_AFTER)
 
     @Test
