End a rollout whose unreadable order is removed

Cause: a list whose readable values equal those before it notifies nobody, and neither an unreadable nor a removed order has a value. The list now also notifies if the names differ.

Evidence: VersionRolloutsTest failed on its last step before (only "old" allowed after the removal).

--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -55,6 +55,7 @@
         }
         val decoded = HashMap<String, T>()
         recordRemovals(objects, revision)
+        val previousNames = revisions.keys.toSet()
         revisions.clear()
         documents.clear()
         objects.forEach { track(it) }
@@ -67,7 +68,8 @@
         if (previous != values) {
             context.log.record("${label}s_listed", "count" to values.size, "revision" to revision)
         }
-        notify(changed = previous != values)
+        // Listeners also distinguish an object that can't be read from one that is gone.
+        notify(changed = previous != values || previousNames != revisions.keys)
     }
 
     override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
