Hold a retry for the return to a silent endpoint

What callers saw: a stream whose sound endpoint had been silent for a second was moved to another endpoint. That one refused it as full, the retry budget allowed no further attempt, and the stream was broken off (or the request got 502), although the first endpoint would have gone on.

Cause: leaving took the last retry of the budget, so that there was none for the return after a refusal. The return could also be refused by admission control, and the retries that were left could be spent on further endpoints that refused.

Change: a request leaves only if the budget has a retry to go and one to hold for the return. The last one held may overdraw the balance by one, since a router of a large fleet never has two. It is released once the other endpoint begins to respond. The return goes to the endpoint that was left, without admission control.

Evidence: SilentEndpointTest, "a stream that its second engine refuses returns to the silent one on an exhausted retry budget", got a broken stream before (refused 1.0 s after the request) and the whole stream now. RetryBudgetTest checks that every request that left can return and that the overdraft stays within one; the bound on retries in a window without returns is unchanged.

--- a/coordination/src/main/kotlin/comfreypath/coordination/limits/RetryBudget.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/limits/RetryBudget.kt
@@ -27,9 +27,13 @@
  * Protects against load that retries multiply: callers that retry at once and often, and servers that refuse or lose
  * many requests. Only part of the limit is used, since routers may disagree about how many of them are live.
  *
- * @property balance the number of retries available at [filledAt]
+ * A request that leaves a silent endpoint for another one that then refuses it has nowhere to go without a second
+ * retry. That one is held for it until the other endpoint responds; the last one held may overdraw the balance by one.
+ *
+ * @property balance the number of retries available at [filledAt]; below 0 after an overdraft
+ * @property held the number of requests for which a retry is held
  */
-data class RetryBudget(val balance: Double = 0.0, val filledAt: Instant = Instant.EPOCH) {
+data class RetryBudget(val balance: Double = 0.0, val filledAt: Instant = Instant.EPOCH, val held: Int = 0) {
     /** The budget after the first attempt of a request. */
     fun afterRequest(bounds: RetryBounds): RetryBudget = copy(balance = balance + bounds.share * SHARE_UTILIZATION)
 
@@ -42,8 +46,17 @@
     }
 
     /** True if a retry is allowed. */
-    val allowsRetry: Boolean get() = balance >= 1.0
+    val allowsRetry: Boolean get() = balance - (held - 1).coerceAtLeast(0) >= 1.0
+
+    /** True if a retry is allowed and another one can be held. */
+    val allowsHold: Boolean get() = balance - held >= 1.0
 
     /** The budget after a retry. */
     fun afterRetry(): RetryBudget = copy(balance = balance - 1.0)
+
+    /** The budget after a retry for which another one is held. */
+    fun afterRetryWithHold(): RetryBudget = afterRetry().copy(held = held + 1)
+
+    /** The budget after a retry is no longer held. */
+    fun afterRelease(): RetryBudget = copy(held = held - 1)
 }
--- a/coordination/src/test/kotlin/comfreypath/coordination/limits/RetryBudgetTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/limits/RetryBudgetTest.kt
@@ -5,7 +5,9 @@
 import net.jqwik.api.constraints.IntRange
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import java.time.Duration
 import java.time.Instant
@@ -52,4 +54,23 @@
         val budget = RetryBudget(filledAt = start.minusSeconds(20)).refilled(start, bounds, routers = 9)
         expectThat(budget.balance).isGreaterThan(2.0)
     }
+
+    @Property(tries = 60)
+    fun `requests that leave a silent endpoint can return and overdraw the budget by one at most`(
+        @ForAll @IntRange(min = 1, max = 40) routers: Int,
+        @ForAll @IntRange(min = 0, max = 30) ordinary: Int,
+    ) {
+        var budget = RetryBudget(filledAt = start.minusSeconds(100)).refilled(start, bounds, routers)
+        repeat(10) { budget = budget.afterRequest(bounds) }
+        var left = 0
+        while (budget.allowsHold) {
+            budget = budget.afterRetryWithHold()
+            left += 1
+        }
+        repeat(ordinary) { if (budget.allowsRetry) budget = budget.afterRetry() }
+        repeat(left) { budget = budget.afterRelease().afterRetry() }
+        expectThat(left).isGreaterThan(0)
+        expectThat(budget.balance).isGreaterThanOrEqualTo(-1.0)
+        expectThat(budget.held).isEqualTo(0)
+    }
 }
--- a/daemon/src/test/kotlin/comfreypath/daemon/SilentEndpointTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/SilentEndpointTest.kt
@@ -1,5 +1,6 @@
 package comfreypath.daemon
 
+import comfreypath.coordination.limits.RetryBounds
 import comfreypath.coordination.model.EndpointName
 import comfreypath.daemon.demo.PlatformFleet
 import comfreypath.daemon.demo.PlatformRequest
@@ -14,6 +15,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.time.Duration
 
 class SilentEndpointTest {
     private val tokens = "1612,70"
@@ -76,6 +78,20 @@
         }
     }
 
+    @Test
+    fun `a stream that its second engine refuses returns to the silent one on an exhausted retry budget`() =
+        PlatformFixture { it.copy(bounds = it.bounds.copy(retries = ONE_RETRY)) }.run {
+            setEngineFaults(PlatformServerFaults(pauseAfterEvents = 3, pauseMilliseconds = 1_300))
+            coroutineScope {
+                val stream = async { call(PlatformRequest("follow", "s1", tokens)) }
+                eventually("the stream to begin") { requestsSeen("s1").isNotEmpty() }
+                val silent = fleet.engines.single { running -> running.server.receivedRequests.any { it.id == "s1" } }
+                setFaults(otherThan(silent.endpoint.name), PlatformServerFaults(refuse = true))
+                expectThat(stream.await()).isNotNull().get { text() }.isEqualTo(expectedStream("s1", tokens))
+                expectThat(requestsSeen("s1").size).isEqualTo(3)
+            }
+        }
+
     @Test
     fun `a stream leaves a dead engine in time`() = PlatformFixture().run {
         val dead = fleet.engines.first()
@@ -88,4 +104,9 @@
             expectThat(responses).all { isNotNull().get { status }.isEqualTo(200) }
         }
     }
+
+    private companion object {
+        /** Allows one retry, and no other one for an hour. */
+        val ONE_RETRY = RetryBounds(share = 0.0, slack = 2.5, window = Duration.ofHours(1))
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -61,19 +61,23 @@
     /** Makes attempts until one of them decides the result. */
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
-        while (result == null) {
-            // The parts of a stream that has begun are sound.
-            val held = dependencies.trackers.evidence.takeIf { stream?.started != true }
-                ?.refusal(request, mayHaveRun = state.runs > 0)
-            val selected =
-                if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
-            result = when (selected) {
-                is SelectionResult.Selected -> tryEndpoint(selected.selection)
-                is SelectionResult.Overloaded ->
-                    finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
-                SelectionResult.NoEndpoint ->
-                    finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
+        try {
+            while (result == null) {
+                // The parts of a stream that has begun are sound.
+                val held = dependencies.trackers.evidence.takeIf { stream?.started != true }
+                    ?.refusal(request, mayHaveRun = state.runs > 0)
+                val selected =
+                    if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
+                result = when (selected) {
+                    is SelectionResult.Selected -> tryEndpoint(selected.selection)
+                    is SelectionResult.Overloaded ->
+                        finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
+                    SelectionResult.NoEndpoint ->
+                        finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
+                }
             }
+        } finally {
+            targets.releaseReturn()
         }
         return result
     }
@@ -130,7 +134,9 @@
 
     /** Acquires a retry from the budget. A retry after an attempt that never reached a server costs nothing. */
     private fun acquireRetry(selection: Selection, outcome: AttemptOutcome): Boolean =
-        outcome is AttemptOutcome.NotSent || dependencies.trackers.retries.tryAcquire(selection.endpoint.service)
+        outcome is AttemptOutcome.NotSent ||
+            dependencies.trackers.retries.tryAcquire(selection.endpoint.service) ||
+            targets.acquireReturn()
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
         outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
@@ -217,6 +223,7 @@
 
     private suspend fun readResponse(selection: Selection, sent: SendResult.Responding): CompletedAttempt {
         dependencies.invariants.checkResponse(request, sent.head)
+        if (!sent.head.notRun) targets.releaseReturn()
         val isStream = route.streaming && sent.head.status == HttpResponseStatus.OK.code()
         var reusable = false
         try {
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.verdict.Alternative
 import comfreypath.coordination.verdict.RetryState
 import comfreypath.coordination.verdict.StallPolicy
@@ -13,6 +14,10 @@
     private val left = HashSet<EndpointName>()
     private var reserved: Selection? = null
 
+    /** The service at which a retry is held for the return to a silent endpoint; null if none is. */
+    private var heldAt: ServiceName? = null
+    private var returning = false
+
     /** True while an endpoint is reserved for the next attempt. */
     val hasReserved: Boolean get() = reserved != null
 
@@ -33,7 +38,28 @@
     fun select(state: RetryState): SelectionResult {
         val taken = reserved?.takeIf { dependencies.selector.accepts(it) }
         reserved = null
-        return if (taken == null) selectOther(state) else SelectionResult.Selected(taken)
+        val selected = when {
+            taken != null -> SelectionResult.Selected(taken)
+            returning -> dependencies.selector.select(exchange, tried, held = left)
+            else -> null
+        }
+        returning = false
+        return selected as? SelectionResult.Selected ?: selectOther(state)
+    }
+
+    /** Acquires the retry that is held for this request, for the silent endpoint; returns false if none is held. */
+    fun acquireReturn(): Boolean {
+        val service = heldAt ?: return false
+        heldAt = null
+        trackers.retries.acquireHeld(service)
+        returning = true
+        return true
+    }
+
+    /** Releases the retry that is held for this request, if any. */
+    fun releaseReturn() {
+        heldAt?.let { trackers.retries.release(it) }
+        heldAt = null
     }
 
     private fun selectOther(state: RetryState): SelectionResult {
@@ -53,13 +79,15 @@
         if (exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)) {
             return Alternative.NO_ENDPOINT
         }
-        val selected = if (trackers.retries.available(service)) dependencies.selector.select(exchange, tried) else null
+        val selected = if (trackers.retries.canHold(service)) dependencies.selector.select(exchange, tried) else null
         val other = (selected as? SelectionResult.Selected)?.selection?.takeIf { responsive(it) }
         return when {
             selected == null -> Alternative.NO_RETRY
             other == null -> Alternative.NO_ENDPOINT
-            !trackers.retries.tryAcquire(service) -> Alternative.NO_RETRY
+            !trackers.retries.tryAcquireWithHold(service) -> Alternative.NO_RETRY
             else -> {
+                releaseReturn()
+                heldAt = service
                 reserved = other
                 Alternative.RESERVED
             }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -90,13 +90,23 @@
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
-    /** Selects an endpoint for the next attempt, other than those in [excluded]. */
-    fun select(exchange: CallerExchange, excluded: Set<EndpointName>): SelectionResult {
+    /**
+     * Selects an endpoint for the next attempt, other than those in [excluded].
+     *
+     * @param held the endpoints to select from if the request has held a slot at them before, so that it needs no
+     * admission; null to select from all
+     */
+    fun select(
+        exchange: CallerExchange,
+        excluded: Set<EndpointName>,
+        held: Set<EndpointName>? = null,
+    ): SelectionResult {
         val requestHash = hashOf(exchange.request.id.text)
         val service = exchange.route.serviceFor(requestHash)
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
-        val candidates = candidates(exchange, registered, excluded, context.now())
-        val admission = service?.let { admission(exchange, it, candidates) }
+        val others = if (held == null) excluded else registered.mapTo(HashSet()) { it.name } - held
+        val candidates = candidates(exchange, registered, others, context.now())
+        val admission = service?.takeIf { held == null }?.let { admission(exchange, it, candidates) }
         return if (admission is Admission.Refused) {
             SelectionResult.Overloaded(admission)
         } else {
--- a/router/src/main/kotlin/comfreypath/router/sending/RetryBudgets.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/RetryBudgets.kt
@@ -21,8 +21,25 @@
         budgets[service] = current(service).afterRequest(bounds)
     }
 
-    /** True if a retry at [service] can be acquired. */
-    fun available(service: ServiceName): Boolean = current(service).allowsRetry
+    /** True if a retry at [service] can be acquired and another one held. */
+    fun canHold(service: ServiceName): Boolean = current(service).allowsHold
+
+    /** Acquires one retry at [service] and holds another one; returns false if the budget is exhausted. */
+    fun tryAcquireWithHold(service: ServiceName): Boolean {
+        val budget = current(service)
+        budgets[service] = if (budget.allowsHold) budget.afterRetryWithHold() else budget
+        return budget.allowsHold
+    }
+
+    /** Acquires the retry at [service] that was held. */
+    fun acquireHeld(service: ServiceName) {
+        budgets[service] = current(service).afterRelease().afterRetry()
+    }
+
+    /** Releases a retry at [service] that was held in vain. */
+    fun release(service: ServiceName) {
+        budgets[service] = current(service).afterRelease()
+    }
 
     /** Acquires one retry at [service]; returns false if the budget is exhausted. */
     fun tryAcquire(service: ServiceName): Boolean {
