--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
@@ -24,6 +24,9 @@
 ) {
     /** True when the request may be moved to another endpoint if the one that runs it stops responding. */
     val canFailOver: Boolean get() = route.repeatable && runs + 1 < route.maxAttempts
+
+    /** The time until [deadline]; negative after it. */
+    fun timeLeft(now: Instant): Duration = Duration.between(now, deadline)
 }
 
 /** The next step for a request after an attempt. */
@@ -73,7 +76,7 @@
         now: Instant,
         mayRetry: Boolean,
     ): RetryDecision {
-        val hasTime = Duration.between(now, state.deadline).toMillis() > MIN_ATTEMPT_MILLISECONDS
+        val hasTime = state.timeLeft(now).toMillis() > MIN_ATTEMPT_MILLISECONDS
         val canRetry = hasTime && mayRetry
         return when (outcome) {
             is AttemptOutcome.Answered -> afterResponse(state, outcome, canRetry)
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -61,25 +61,28 @@
     /** Makes attempts until one of them decides the result. */
     suspend fun run(): RelayResult {
         var result: RelayResult? = null
-        while (result == null) {
-            // The parts of a stream that has begun are sound.
-            val held = dependencies.trackers.evidence.takeIf { stream?.started != true }
-                ?.refusal(request, mayHaveRun = state.runs > 0)
-            val selected =
-                if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
-            result = when (selected) {
-                is SelectionResult.Selected -> tryEndpoint(selected.selection)
-                is SelectionResult.Overloaded ->
-                    finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
-                is SelectionResult.AllOut -> {
-                    val timeLeft = Duration.between(context.now(), state.deadline)
-                    val refusal = RelayRefusals.allOut(selected, timeLeft, request.jitter)
-                    log.allOut(route.name, selected, refusal.retryAfter)
-                    finish(retryPolicy.giveUp(state), rejection = refusal)
+        try {
+            while (result == null) {
+                // The parts of a stream that has begun are sound.
+                val held = dependencies.trackers.evidence.takeIf { stream?.started != true }
+                    ?.refusal(request, mayHaveRun = state.runs > 0)
+                val selected =
+                    if (callerConnected && held == null) targets.select(state) else SelectionResult.NoEndpoint
+                result = when (selected) {
+                    is SelectionResult.Selected -> tryEndpoint(selected.selection)
+                    is SelectionResult.Overloaded ->
+                        finish(retryPolicy.giveUp(state), rejection = RelayRefusals.overloaded(selected.admission))
+                    is SelectionResult.AllOut -> {
+                        val refusal = RelayRefusals.allOut(selected, state.timeLeft(context.now()), request.jitter)
+                        log.allOut(route.name, selected, refusal.retryAfter)
+                        finish(retryPolicy.giveUp(state), rejection = refusal)
+                    }
+                    SelectionResult.NoEndpoint ->
+                        finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
                 }
-                SelectionResult.NoEndpoint ->
-                    finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
             }
+        } finally {
+            targets.releaseReturn()
         }
         return result
     }
@@ -138,7 +141,8 @@
     /** Acquires a retry from the budget. A retry after an attempt that never reached a server costs nothing. */
     private fun acquireRetry(selection: Selection, outcome: AttemptOutcome): Boolean =
         outcome is AttemptOutcome.NotSent || outcome == AttemptOutcome.Withheld ||
-            dependencies.trackers.retries.tryAcquire(selection.endpoint.service)
+            dependencies.trackers.retries.tryAcquire(selection.endpoint.service) ||
+            targets.acquireReturn()
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
         outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
@@ -190,7 +194,7 @@
         dependencies.invariants.checkSend(request, state, selection.endpoint)
         val plan = SendPlan(
             endpoint = selection.endpoint,
-            timeLeft = Duration.between(context.now(), state.deadline),
+            timeLeft = state.timeLeft(context.now()),
             team = exchange.team,
             priority = exchange.priority.coerceIn(ENGINE_PRIORITIES),
             lastEventId = stream?.lastEventId ?: request.lastEventId,
@@ -225,10 +229,11 @@
 
     private suspend fun readResponse(selection: Selection, sent: SendResult.Responding): CompletedAttempt {
         dependencies.invariants.checkResponse(request, sent.head)
+        if (!sent.head.notRun) targets.releaseReturn()
         val isStream = route.streaming && sent.head.status == HttpResponseStatus.OK.code()
         var reusable = false
         try {
-            val attempt = withTimeoutOrNull(Duration.between(context.now(), state.deadline).toMillis()) {
+            val attempt = withTimeoutOrNull(state.timeLeft(context.now()).toMillis()) {
                 if (isStream) {
                     val relay = stream?.takeIf { it.started } ?: newStreamRelay(sent.head)
                     stream = relay
@@ -283,7 +288,7 @@
 
     /** The refusal of a request that has not run and will not; [jitter], from 0 to 1, varies the retry-after. */
     fun notRun(state: RetryState, now: Instant, jitter: Double): Refusal {
-        val retryAfter = RetryAfterPolicy.delay(state.lastOutcome, Duration.between(now, state.deadline), jitter)
+        val retryAfter = RetryAfterPolicy.delay(state.lastOutcome, state.timeLeft(now), jitter)
         return when {
             now >= state.deadline -> Refusal(RefusalCode.EXPIRED, "no endpoint took the request in time")
             state.refusals == 0 -> Refusal(RefusalCode.NO_ENDPOINT, "no endpoint can take the request", retryAfter)
