--- a/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PlatformFixture.kt
@@ -12,6 +12,7 @@
 import comfreypath.standins.ReceivedRequest
 import comfreypath.standins.StoreFaults
 import comfreypath.transport.ClientResponse
+import comfreypath.transport.IncomingRequest
 import comfreypath.transport.dispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
@@ -23,9 +24,12 @@
 class PlatformFixture(
     routers: Int = 1,
     endpointDialect: EndpointDialect = PlatformEndpointDialect(),
+    engines: Int = 2,
+    plainServers: Int = 2,
+    senderOf: (IncomingRequest) -> String = { "" },
     customizeRouter: (RouterOptions) -> RouterOptions = { it },
 ) {
-    val fleet = PlatformFleet(routers, customizeRouter = customizeRouter, endpointDialect = endpointDialect)
+    val fleet = PlatformFleet(routers, engines, plainServers, customizeRouter, endpointDialect, senderOf)
     private val caller = PlatformCaller(fleet.callerLoop)
 
     /** Runs [test] between start and stop of the fleet, and expects that no invariant was violated. */
