Keep requests at a silent endpoint that is draining

What callers saw: a sound endpoint that drained fell silent for more than a second; the request was moved to others, which refused it as full, and could not return to the first one: 502 after 1.0 s, or a broken stream, instead of the endpoint's answer.

Cause: leaving a silent endpoint relied on the way back, which an endpoint that drains does not offer. A draining endpoint completes what it has and then closes its connections, so that the request now stays there. An endpoint whose entry is gone may have crashed; it is still left.

AttemptTargetsTest checks the decision.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -76,7 +76,9 @@
     /** Reserves an endpoint and a retry for a request that is to leave [current]. */
     fun reserve(current: Selection): Alternative {
         val service = current.endpoint.service
-        if (exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)) {
+        val held = exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)
+        // A draining endpoint completes what it has, and the request could not return to it.
+        if (held || dependencies.selector.isDraining(current)) {
             return Alternative.NO_ENDPOINT
         }
         val selected = if (trackers.retries.canHold(service)) dependencies.selector.select(exchange, tried) else null
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -90,6 +90,12 @@
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
+    /** True if the endpoint of an earlier selection has announced that it will stop. */
+    val isDraining: (Selection) -> Boolean = { selection ->
+        val registered = view.endpoints.forService(selection.endpoint.service)
+        registered.any { it.name == selection.endpoint.name && it.draining }
+    }
+
     /**
      * Selects an endpoint for the next attempt, other than those in [excluded].
      *
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -96,8 +96,8 @@
         context.loop.parent().shutdownGracefully()
     }
 
-    private fun register(vararg names: String) = view.endpoints.entries.replace(
-        names.map { name -> StoredObject(name, 1, Ok(endpoint(name)), document = "{}") },
+    private fun register(vararg endpoints: Endpoint) = view.endpoints.entries.replace(
+        endpoints.map { StoredObject(it.name.text, 1, Ok(it), document = "{}") },
         revision = 1,
         confirmedAt = clock.instant(),
     )
@@ -144,14 +144,19 @@
         listOf(PartReport(SUSPECTED_PART, crashes = TWO_CRASHES)),
     )
 
-    /** Begins an attempt of [exchange]; returns whether the request may leave its endpoint. */
-    private fun alternative(exchange: CallerExchange): Alternative {
-        register("model-1", "model-2")
+    /**
+     * Begins an attempt of [exchange]; returns whether the request may leave its endpoint, which is [draining]
+     * meanwhile.
+     */
+    private fun alternative(exchange: CallerExchange, draining: Boolean = false): Alternative {
+        val (first, second) = listOf(endpoint("model-1"), endpoint("model-2"))
+        register(first, second)
         val targets = AttemptTargets(dependencies, exchange)
         val selected = targets.select(RetryState(route, exchange.deadline))
         expectThat(selected).isA<SelectionResult.Selected>()
         val selection = (selected as SelectionResult.Selected).selection
         targets.recordTried(selection.endpoint.name)
+        register(selection.endpoint.copy(draining = draining), if (selection.endpoint == first) second else first)
         return targets.reserve(selection)
     }
 
@@ -168,6 +173,12 @@
         expectThat(alternative(exchange)).isEqualTo(Alternative.RESERVED)
     }
 
+    @Test
+    fun `a request stays at a silent endpoint that is draining`() {
+        expectThat(alternative(exchange(), draining = true)).isEqualTo(Alternative.NO_ENDPOINT)
+        expectThat(alternative(exchange(), draining = false)).isEqualTo(Alternative.RESERVED)
+    }
+
     private object UnusedWriter : ResponseWriter {
         override val started: Boolean get() = false
 
