Keep requests at a silent endpoint that has announced a leave or a pause

A request left a silent, sound endpoint that had said in a response that it leaves or pauses, the others refused it, and it could not return: 502, or a broken stream.

Cause: whether a request can return was asked of the entry in the store alone. EndpointGate knows all reasons for which an endpoint gets no new requests, an evacuation among them, and is asked now. An endpoint whose entry is gone is still left, since it may have crashed.

Evidence: the two new tests of AttemptTargetsTest failed before (RESERVED instead of NO_ENDPOINT) and pass now, as does EndpointSelectorTest.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -84,8 +84,8 @@
     fun reserve(current: Selection): Alternative {
         val service = current.endpoint.service
         val held = exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)
-        // A draining endpoint completes what it has, and the request could not return to it.
-        if (held || dependencies.selector.isDraining(current)) {
+        // An endpoint that only takes no new requests completes what it has.
+        if (held || dependencies.selector.barsReturn(current)) {
             return Alternative.NO_ENDPOINT
         }
         val selected = if (trackers.retries.canHold(service)) dependencies.selector.select(exchange, tried) else null
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -98,10 +98,10 @@
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
-    /** True if the endpoint of an earlier selection has announced that it will stop. */
-    val isDraining: (Selection) -> Boolean = { selection ->
+    /** True if the endpoint of an earlier selection is registered but gets no new requests, so none can return. */
+    val barsReturn: (Selection) -> Boolean = { selection ->
         val registered = view.endpoints.forService(selection.endpoint.service)
-        registered.any { it.name == selection.endpoint.name && it.draining }
+        registered.any { it.name == selection.endpoint.name && !gate.accepts(it) }
     }
 
     /**
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -144,11 +144,11 @@
         listOf(PartReport(SUSPECTED_PART, crashes = TWO_CRASHES)),
     )
 
-    /**
-     * Begins an attempt of [exchange]; returns whether the request may leave its endpoint, which is [draining]
-     * meanwhile.
-     */
-    private fun alternative(exchange: CallerExchange, draining: Boolean = false): Alternative {
+    /** Begins an attempt of [exchange]; returns whether the request may leave its endpoint, after [meanwhile]. */
+    private fun alternative(
+        exchange: CallerExchange,
+        meanwhile: (current: Endpoint, other: Endpoint) -> Unit = { _, _ -> },
+    ): Alternative {
         val (first, second) = listOf(endpoint("model-1"), endpoint("model-2"))
         register(first, second)
         val targets = AttemptTargets(dependencies, exchange)
@@ -156,7 +156,7 @@
         expectThat(selected).isA<SelectionResult.Selected>()
         val selection = (selected as SelectionResult.Selected).selection
         targets.recordTried(selection.endpoint.name)
-        register(selection.endpoint.copy(draining = draining), if (selection.endpoint == first) second else first)
+        meanwhile(selection.endpoint, if (selection.endpoint == first) second else first)
         return targets.reserve(selection)
     }
 
@@ -175,8 +175,26 @@
 
     @Test
     fun `a request stays at a silent endpoint that is draining`() {
-        expectThat(alternative(exchange(), draining = true)).isEqualTo(Alternative.NO_ENDPOINT)
-        expectThat(alternative(exchange(), draining = false)).isEqualTo(Alternative.RESERVED)
+        val drain = { current: Endpoint, other: Endpoint -> register(current.copy(draining = true), other) }
+        expectThat(alternative(exchange(), drain)).isEqualTo(Alternative.NO_ENDPOINT)
+        expectThat(alternative(exchange())).isEqualTo(Alternative.RESERVED)
+    }
+
+    /** After it had left, other endpoints refused it, and it could not return. */
+    @Test
+    fun `a request stays at a silent endpoint that has announced that it leaves`() =
+        expectStays(EndpointResponseHeads.of(RequestId("r2")).copy(leaving = true))
+
+    /** After it had left, other endpoints refused it, and it could not return. */
+    @Test
+    fun `a request stays at a silent endpoint that has asked for a pause`() =
+        expectStays(EndpointResponseHeads.of(RequestId("r2")).copy(pause = Duration.ofSeconds(4)))
+
+    private fun expectStays(announcement: EndpointResponseHead) {
+        val announce = { current: Endpoint, _: Endpoint ->
+            tracker.announcements.observe(current, announcement, RequestId("r2"))
+        }
+        expectThat(alternative(exchange(), announce)).isEqualTo(Alternative.NO_ENDPOINT)
     }
 
     private object UnusedWriter : ResponseWriter {
