Let a request return to its silent endpoint without admission control

What callers saw: a request left a silent, sound endpoint, the other one refused it, and the return was refused as one more request of an overloaded service: 502, or a broken stream, although the request had held a slot there.

Cause: spared the return from admission control only where the retry budget was exhausted. With a budget, or after an attempt that sent nothing, AttemptTargets selected like for any other request. All returns are selected the same way now.

Evidence: the new test of AttemptTargetsTest got Overloaded before; it passes now, with EndpointSelectorTest, RetryPolicyTest and SilentEndpointTest.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -75,9 +75,10 @@
         if (selected is SelectionResult.Selected || !mayReturn) {
             return selected
         }
-        tried -= left
+        val returnable = left.toSet()
+        tried -= returnable
         left.clear()
-        return dependencies.selector.select(exchange, tried)
+        return dependencies.selector.select(exchange, tried, held = returnable)
     }
 
     /** Reserves an endpoint and a retry for a request that is to leave [current]. */
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -197,6 +197,24 @@
         expectThat(alternative(exchange(), announce)).isEqualTo(Alternative.NO_ENDPOINT)
     }
 
+    /** Its return was refused as one more request, although it had held a slot there. */
+    @Test
+    fun `a request returns to the silent endpoint that it left although all endpoints are full`() {
+        val exchange = exchange()
+        val (silent, other) = listOf(endpoint("model-1"), endpoint("model-2"))
+        register(silent, other)
+        listOf(silent, other).forEach { tracker.entry(it.name).inFlight = it.slots }
+        repeat(TIME_SAMPLES) {
+            trackers.progress.recordTimes(service, route.name, Duration.ofSeconds(5), Duration.ofSeconds(20))
+        }
+        val targets = AttemptTargets(dependencies, exchange)
+        targets.recordTried(silent.name)
+        targets.recordLeft(silent.name)
+        targets.recordTried(other.name)
+        expectThat(targets.select(RetryState(route, exchange.deadline, runs = 1, refusals = 1)))
+            .isA<SelectionResult.Selected>().get { selection.endpoint }.isEqualTo(silent)
+    }
+
     private object UnusedWriter : ResponseWriter {
         override val started: Boolean get() = false
 
@@ -213,6 +231,7 @@
     }
 
     private companion object {
+        const val TIME_SAMPLES = 10
         const val SUSPECTED_PART = 0xdeadL
         const val OWN_PART = 0x1L
         val TWO_CRASHES = listOf(
