Let a request return to its silent endpoint after any number of refusals

What callers saw: a stream left a silent, sound endpoint; four others refused it, and it was broken off (502 before its first event), although a retry was held for its return.

Cause: the limit on refusals ended the request before the return was tried, which only an exhausted budget led to. The return is the last resort now whenever no other endpoint may be tried, whatever the reason. It needs an attempt that is left, time, and the retry that is held.

Evidence: SilentEndpointTest, "a stream returns to its silent engine after any number of refusals by others" (seven engines), got a broken stream before and the whole one now.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/RetryPolicy.kt
@@ -102,6 +102,14 @@
         return if (retries) RetryDecision.TryAnother else RetryDecision.Deliver
     }
 
+    /**
+     * True if a request that has left a silent endpoint may return to it after [outcome] at another one, however many
+     * endpoints have refused it.
+     */
+    fun mayReturn(state: RetryState, outcome: AttemptOutcome, now: Instant): Boolean =
+        outcome !is AttemptOutcome.Answered && state.route.repeatable && state.runs < state.route.maxAttempts &&
+            state.timeLeft(now).toMillis() > MIN_ATTEMPT_MILLISECONDS
+
     /** Returns what to report to the caller when no further endpoint is tried. */
     fun giveUp(state: RetryState): RetryDecision =
         if (state.runs > 0) RetryDecision.FailMayHaveRun else RetryDecision.RefuseNotRun
--- a/daemon/src/test/kotlin/comfreypath/daemon/SilentEndpointTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/SilentEndpointTest.kt
@@ -92,6 +92,21 @@
             }
         }
 
+    /** The limit on refusals ended it before its way back. */
+    @Test
+    fun `a stream returns to its silent engine after any number of refusals by others`() =
+        PlatformFixture(engines = 7).run {
+            setEngineFaults(PlatformServerFaults(pauseAfterEvents = 3, pauseMilliseconds = 1_300))
+            coroutineScope {
+                val stream = async { call(PlatformRequest("follow", "s1", tokens)) }
+                eventually("the stream to begin") { requestsSeen("s1").isNotEmpty() }
+                val silent = fleet.engines.single { running -> running.server.receivedRequests.any { it.id == "s1" } }
+                setFaults(otherThan(silent.endpoint.name), PlatformServerFaults(refuse = true))
+                expectThat(stream.await()).isNotNull().get { text() }.isEqualTo(expectedStream("s1", tokens))
+                expectThat(requestsSeen("s1").count { it.ran }).isEqualTo(2)
+            }
+        }
+
     @Test
     fun `a stream leaves a dead engine in time`() = PlatformFixture().run {
         val dead = fleet.engines.first()
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -97,14 +97,9 @@
         val attempt = measuredAttempt(selection)
         val begun = stream?.started == true
         dependencies.trackers.evidence.attemptEnded(request, selection.endpoint, attempt.outcome, begun)
-        val ifRetryAllowed = retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = true)
-        val leaves = attempt.outcome.leavesSilentEndpoint
-        if (leaves) targets.recordLeft(selection.endpoint.name)
+        if (attempt.outcome.leavesSilentEndpoint) targets.recordLeft(selection.endpoint.name)
         if (attempt.outcome == AttemptOutcome.Withheld) targets.recordWithheld(selection.endpoint.name)
-        val allowed =
-            leaves || ifRetryAllowed.second != RetryDecision.TryAnother || acquireRetry(selection, attempt.outcome)
-        val (next, decision) =
-            if (allowed) ifRetryAllowed else retryPolicy.decide(state, attempt.outcome, context.now(), mayRetry = false)
+        val (next, decision) = decide(selection, attempt.outcome)
         state = next
         recordAttempt(selection, attempt.outcome, decision)
         return if (decision == RetryDecision.TryAnother) null else finish(decision, attempt.result)
@@ -138,11 +133,24 @@
         }
     }
 
-    /** Acquires a retry from the budget. A retry after an attempt that never reached a server costs nothing. */
-    private fun acquireRetry(selection: Selection, outcome: AttemptOutcome): Boolean =
-        outcome is AttemptOutcome.NotSent || outcome == AttemptOutcome.Withheld ||
-            dependencies.trackers.retries.tryAcquire(selection.endpoint.service) ||
-            targets.acquireReturn()
+    /**
+     * Decides the next step after [outcome], and acquires the retry that it needs. A retry after an attempt that never
+     * reached a server costs nothing. A request that has left a silent endpoint returns to it as the last resort.
+     */
+    private fun decide(selection: Selection, outcome: AttemptOutcome): Pair<RetryState, RetryDecision> {
+        val now = context.now()
+        val ifAllowed = retryPolicy.decide(state, outcome, now, mayRetry = true)
+        val retries = ifAllowed.second == RetryDecision.TryAnother
+        val free =
+            outcome.leavesSilentEndpoint || outcome is AttemptOutcome.NotSent || outcome == AttemptOutcome.Withheld
+        return when {
+            retries && (free || dependencies.trackers.retries.tryAcquire(selection.endpoint.service)) -> ifAllowed
+            retryPolicy.mayReturn(ifAllowed.first, outcome, now) && targets.acquireReturn() ->
+                ifAllowed.first to RetryDecision.TryAnother
+            retries -> retryPolicy.decide(state, outcome, now, mayRetry = false)
+            else -> ifAllowed
+        }
+    }
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
         outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
