Install the shutdown hook before the start, and count the grace period from SIGTERM

And if the start went on for long, the grace period was counted from its end, so that SIGKILL came before the last requests were refused. An event loop that ended within the start was not noticed, and a stop waited for it in vain.

The start begins after the hook and the watch on the event loop are installed. The stop is told how much of the grace period is over.

Evidence: the new test of GracefulStopTest got 504 after the route's timeout of 4 s instead of 502 at the end of the shorter grace period; it passes now, with EarlyStopTest. The order of hook and start is by reading: no test forces it.

--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -21,12 +21,14 @@
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import java.io.File
 import java.io.IOException
+import java.time.Duration
 import java.time.Instant
 import java.util.concurrent.CountDownLatch
 
@@ -91,20 +93,22 @@
         val reloader = SettingsReloader(file, readOptions, ReloadHandler(router::reload, router::rejectReload))
         val stopLatch = CountDownLatch(1)
         reloader.installSignalHandler(loop)
-        val starting = CoroutineScope(loop.dispatcher()).async { router.start() }
+        val starting = CoroutineScope(loop.dispatcher()).async(start = CoroutineStart.LAZY) { router.start() }
         // Callers are accepted before the start has ended, so that a stop must not cut it short.
         val shutdownHook = Thread {
+            val requestedAt = System.nanoTime()
             runBlocking {
                 starting.join()
-                if (!starting.isCancelled) withContext(loop.dispatcher()) { router.stop() }
+                val elapsed = Duration.ofNanos(System.nanoTime() - requestedAt)
+                if (!starting.isCancelled) withContext(loop.dispatcher()) { router.stop(elapsed) }
             }
             stopLatch.countDown()
         }
         Runtime.getRuntime().addShutdownHook(shutdownHook)
+        loop.terminationFuture().addListener { exitAfterFatalError() }
         return try {
             runBlocking { starting.await() }
             CoroutineScope(loop.dispatcher()).launch { reloader.watchFile() }
-            loop.terminationFuture().addListener { exitAfterFatalError() }
             stopLatch.await()
             0
         } catch (exception: IOException) {
--- a/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
@@ -5,14 +5,17 @@
 import comfreypath.daemon.demo.PlatformRequest
 import comfreypath.standins.PlatformServerFaults
 import comfreypath.standins.PlatformServerStandIn
+import comfreypath.transport.dispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.doesNotContain
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.net.Socket
 import java.time.Duration
 
@@ -35,6 +38,28 @@
         expectThat(fixture.fleet.violations.map { it.invariant }).all { isEqualTo(Invariant.GRACEFUL_STOP) }
     }
 
+    /** A router that is stopped while it starts begins to stop late; its grace period has begun with the signal. */
+    @Test
+    fun `the time that is over when a stop begins counts towards the grace period`() {
+        val fixture = PlatformFixture { it.copy(timeouts = it.timeouts.copy(grace = Duration.ofMillis(6_000))) }
+        runBlocking {
+            fixture.fleet.start()
+            try {
+                fixture.setPlainServerFaults(PlatformServerFaults(silent = true))
+                val response = async { fixture.call(PlatformRequest("book", "b1", body = ByteArray(1))) }
+                fixture.eventually("the request has reached a server") { fixture.requestsSeen("b1").isNotEmpty() }
+                val router = fixture.fleet.routers.single()
+                val stopAt = System.nanoTime()
+                withContext(router.loop.dispatcher()) { router.router.stop(elapsed = Duration.ofMillis(3_000)) }
+                expectThat(response.await()?.status).isEqualTo(502)
+                expectThat(Duration.ofNanos(System.nanoTime() - stopAt)).isLessThan(Duration.ofMillis(3_000))
+            } finally {
+                fixture.fleet.stop()
+            }
+        }
+        expectThat(fixture.fleet.violations.map { it.invariant }).all { isEqualTo(Invariant.GRACEFUL_STOP) }
+    }
+
     /** The bookings are pipelined, so that the last is handled late although its connection was never idle. */
     @Test
     fun `a request that comes late in the grace period is refused instead of being cut off at its end`() {
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -191,12 +191,15 @@
         endpointTracker.announcements.sweep(view.endpoints::isUsable)
     }
 
-    /** Stops gracefully: reports not ready, drains, and closes all servers within the grace period. */
-    suspend fun stop() {
+    /**
+     * Stops gracefully: reports not ready, drains, and closes all servers within the grace period, of which [elapsed]
+     * is over.
+     */
+    suspend fun stop(elapsed: Duration = Duration.ZERO) {
         stopping = true
         peers.draining = true
         peers.announceUpdate(toAll = true)
-        val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_RESERVE)
+        val deadline = context.now() + context.options.timeouts.grace.minus(EXIT_RESERVE).minus(elapsed)
         drainFilter.drain = DrainAdmission(noticedAt = context.now() + DRAIN_NOTICE, endsAt = deadline)
         log.record("stopping", "inProgress" to requests.inProgress)
         delay(DRAIN_NOTICE.toMillis())
