Leave a draining endpoint that stays silent

A request stays at an endpoint to which it can't return only until it has been silent for twice the stall timeout, two seconds at least: a sound endpoint is silent for a second or so.

Evidence: the new test of AttemptTargetsTest fails without the bound (NO_ENDPOINT) and passes with it; the tests for a second of silence pass.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -5,6 +5,10 @@
 import comfreypath.coordination.verdict.Alternative
 import comfreypath.coordination.verdict.RetryState
 import comfreypath.coordination.verdict.StallPolicy
+import java.time.Duration
+
+/** The silence, in stall timeouts, after which a request also leaves an endpoint to which it can't return. */
+private const val MAX_STALL_TIMEOUTS = 2L
 
 /** Chooses the endpoints of one request's attempts. */
 internal class AttemptTargets(private val dependencies: RelayDependencies, private val exchange: CallerExchange) {
@@ -81,12 +85,13 @@
         return dependencies.selector.select(exchange, tried, held = returnable)
     }
 
-    /** Reserves an endpoint and a retry for a request that is to leave [current]. */
-    fun reserve(current: Selection): Alternative {
+    /** Reserves an endpoint and a retry for a request that is to leave [current], which is silent for [silence]. */
+    fun reserve(current: Selection, silence: Duration): Alternative {
         val service = current.endpoint.service
         val held = exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)
-        // An endpoint that only takes no new requests completes what it has.
-        if (held || dependencies.selector.barsReturn(current)) {
+        // An endpoint that only takes no new requests completes what it has, unless it is dead.
+        val mayGoOn = silence < StallPolicy.timeout(exchange.route.latencyTarget).multipliedBy(MAX_STALL_TIMEOUTS)
+        if (held || (mayGoOn && dependencies.selector.barsReturn(current))) {
             return Alternative.NO_ENDPOINT
         }
         val selected = if (trackers.retries.canHold(service)) dependencies.selector.select(exchange, tried) else null
--- a/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.time.Duration
 
 /** Abandons the attempts of one request at silent endpoints once another endpoint has been reserved for it. */
 internal class StallWatch(
@@ -69,7 +70,10 @@
         var lastReason: WaitReason? = null
         while (true) {
             val silentSince = activity.awaitingSince
-            val decision = StallPolicy.decide(state, silentSince, context.now()) { targets.reserve(selection) }
+            val now = context.now()
+            val decision = StallPolicy.decide(state, silentSince, now) {
+                targets.reserve(selection, Duration.between(silentSince ?: now, now))
+            }
             if (decision !is StallDecision.KeepWaiting) return
             val reason = decision.reason
             if (reason != null && reason != lastReason) {
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -147,6 +147,7 @@
     /** Begins an attempt of [exchange]; returns whether the request may leave its endpoint, after [meanwhile]. */
     private fun alternative(
         exchange: CallerExchange,
+        silence: Duration = Duration.ofMillis(1_000),
         meanwhile: (current: Endpoint, other: Endpoint) -> Unit = { _, _ -> },
     ): Alternative {
         val (first, second) = listOf(endpoint("model-1"), endpoint("model-2"))
@@ -157,7 +158,7 @@
         val selection = (selected as SelectionResult.Selected).selection
         targets.recordTried(selection.endpoint.name)
         meanwhile(selection.endpoint, if (selection.endpoint == first) second else first)
-        return targets.reserve(selection)
+        return targets.reserve(selection, silence)
     }
 
     @Test
@@ -176,10 +177,17 @@
     @Test
     fun `a request stays at a silent endpoint that is draining`() {
         val drain = { current: Endpoint, other: Endpoint -> register(current.copy(draining = true), other) }
-        expectThat(alternative(exchange(), drain)).isEqualTo(Alternative.NO_ENDPOINT)
+        expectThat(alternative(exchange(), meanwhile = drain)).isEqualTo(Alternative.NO_ENDPOINT)
         expectThat(alternative(exchange())).isEqualTo(Alternative.RESERVED)
     }
 
+    /** It waited for a dead endpoint until its time was up. */
+    @Test
+    fun `a request leaves a draining endpoint that stays silent`() {
+        val drain = { current: Endpoint, other: Endpoint -> register(current.copy(draining = true), other) }
+        expectThat(alternative(exchange(), Duration.ofMillis(2_000), drain)).isEqualTo(Alternative.RESERVED)
+    }
+
     /** After it had left, other endpoints refused it, and it could not return. */
     @Test
     fun `a request stays at a silent endpoint that has announced that it leaves`() =
@@ -194,7 +202,7 @@
         val announce = { current: Endpoint, _: Endpoint ->
             tracker.announcements.observe(current, announcement, RequestId("r2"))
         }
-        expectThat(alternative(exchange(), announce)).isEqualTo(Alternative.NO_ENDPOINT)
+        expectThat(alternative(exchange(), meanwhile = announce)).isEqualTo(Alternative.NO_ENDPOINT)
     }
 
     /** Its return was refused as one more request, although it had held a slot there. */
