--- a/router/src/test/kotlin/comfreypath/router/TestContext.kt
+++ b/router/src/test/kotlin/comfreypath/router/TestContext.kt
@@ -14,17 +14,21 @@
 internal object TestContext {
     private val unusedAddress = Address("127.0.0.1", 1)
 
-    /** Creates a context that reads the time from [clock] and reports invariant checks to [monitor]. */
+    /**
+     * Creates a context that reads the time from [clock] and reports invariant checks to [monitor], of a router with
+     * [peerAddress] as its address for peers.
+     */
     fun create(
         clock: InstantSource = InstantSource.system(),
         monitor: InvariantMonitor = InvariantMonitor { error("$it was violated") },
+        peerAddress: Address = unusedAddress,
     ): RouterContext {
         val options = RouterOptions(
             name = InstanceName("router-1"),
             dataCentre = DataCentreName("south"),
             callerAddress = unusedAddress,
             readinessAddress = unusedAddress,
-            peerAddress = unusedAddress,
+            peerAddress = peerAddress,
             metricsAddress = unusedAddress,
             objectStore = unusedAddress,
         )
