Trace requests to leaving endpoints to a router whose link is full

Cause: the router that watches the configuration tells all peers at once, and nearly all of them fetch it whole from that one router. With a link of 10 Mbit/s it is cut off by its own answers for one to two seconds. Its fetches of the endpoints fail in a row, so that it learns of leaves late; it takes the failed calls for an outage of the store, and keeps the removed endpoints for up to 1.5 s more, counted from when it learnt of the removal.

--- a/router/src/test/kotlin/comfreypath/router/SilentPeerFetchTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/SilentPeerFetchTest.kt
@@ -41,6 +41,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import java.net.DatagramPacket
 import java.net.DatagramSocket
@@ -61,6 +62,7 @@
     private val contexts = mutableListOf(context)
     private val peers = mutableListOf<TestPeer>()
     private val view = ClusterView(context)
+    private lateinit var gossip: PeerGossip
     private val options = GossipOptions(minInterval = Duration.ofMillis(LARGE_FLEET_INTERVAL_MILLISECONDS))
 
     /** Lists a ready endpoint, some seconds old, and returns no changes. */
@@ -134,7 +136,7 @@
 
     private fun endpoint(name: String, draining: Boolean) = Endpoint(
         name = EndpointName(name),
-        service = ServiceName("s"),
+        service = SERVICE,
         host = "127.0.0.1",
         port = 1,
         dataCentre = DataCentreName("south"),
@@ -166,7 +168,7 @@
                 val names = watcherNames().take(silent + 1).toList()
                 peers += names.mapIndexed { index, name -> TestPeer(name, silent = index < silent) }
                 peers.forEach { it.start() }
-                val gossip = startRouter()
+                startRouter()
                 while (gossip.live.size < peers.size || view.endpoints.entries.values.isEmpty()) {
                     peers.forEach { it.sendStatus() }
                     delay(POLL_MILLISECONDS)
@@ -176,14 +178,13 @@
         }
 
     /** Starts the router under test, which has the peers as its seeds, so that it waits for their messages. */
-    private suspend fun startRouter(): PeerGossip {
+    private suspend fun startRouter() {
         val started = context.withOptions { copy(peers = this@SilentPeerFetchTest.peers.map { it.address }) }
-        val gossip = PeerGossip(started, view, EndpointTracker(started), { true }, options)
+        gossip = PeerGossip(started, view, EndpointTracker(started), { true }, options)
         val limits = StalenessLimits { started.options.bounds }
         val updater = ClusterViewUpdater(started, store, view, gossip, limits, options)
         updater.startEssentials()
         updater.startRemaining()
-        return gossip
     }
 
     /** Returns true once the router knows that the endpoint drains; false if it doesn't within the bound. */
@@ -248,6 +249,26 @@
         }
     }
 
+    private val usable get() = view.endpoints.forService(SERVICE).isNotEmpty()
+
+    /** The grace period began when the router learnt of the removal, however long it had been behind. */
+    @Test
+    fun `a router that was behind after its store calls failed does not keep a removed endpoint beyond the bound`() =
+        withPeers(silent = 1) { silent, sound ->
+            val heardAt = context.now()
+            leave(silent.single())
+            silent.single().sendStatus()
+            delay(SILENT_FETCH_MILLISECONDS)
+            gossip.store.recordFailure(unansweredSince = heardAt.minusMillis(SILENT_FETCH_MILLISECONDS))
+            gossip.store.recordResponse()
+            val removal = ObjectChange(stored(ENDPOINT, DRAINING_REVISION), removed = true)
+            sound.endpoints.apply(listOf(removal), DRAINING_REVISION, NOW)
+            sound.sendStatus()
+            while (ENDPOINT in view.endpoints.entries.values) delay(POLL_MILLISECONDS)
+            delay(LEARNT_WITHIN_MILLISECONDS - Duration.between(heardAt, context.now()).toMillis())
+            expectThat(usable).isFalse()
+        }
+
     private companion object {
         const val ENDPOINT = "endpoint-1"
         const val DRAINING_REVISION = 2L
@@ -255,11 +276,15 @@
         const val BACKLOG = 50
         const val POLL_MILLISECONDS = 10L
         const val FETCH_MILLISECONDS = 300L
+
+        /** Longer than a fetch waits for a peer. */
+        const val SILENT_FETCH_MILLISECONDS = 1_000L
         const val LARGE_FLEET_INTERVAL_MILLISECONDS = 7_300L
         const val TIMEOUT_MILLISECONDS = 10_000L
 
         /** The shortest `drain_ms`, 2,000 ms, less the 250 ms until the first status message that tells of a leave. */
         const val LEARNT_WITHIN_MILLISECONDS = 1_750L
         val NOW: Instant = Instant.now()
+        val SERVICE = ServiceName("s")
     }
 }
