Replay placement by loads that are some hundred milliseconds old

Callers saw requests pile up at one endpoint of a service while others had room. All routers act on loads of the same age, and each takes the whole room below the bound for itself.

Three tests fail on this code. The fourth, calm traffic without closed endpoints, passes.

--- /dev/null
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/StaleLoadReplayTest.kt
@@ -0,0 +1,44 @@
+package comfreypath.coordination.placement
+
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+class StaleLoadReplayTest {
+    private val small = StaleLoadPlan(routers = 9, endpoints = 13)
+    private val large = StaleLoadPlan(routers = 74, endpoints = 42, prefixes = 916)
+    private val larger = StaleLoadPlan(routers = 95, endpoints = 56, prefixes = 725)
+
+    private fun expectBounded(plan: StaleLoadPlan, seeds: LongRange) = seeds.forEach { seed ->
+        val windows = StaleLoadReplay(seed, plan).run()
+        expectThat(windows.minOf { it.total }).describedAs("requests in five seconds").isGreaterThan(MIN_REQUESTS)
+        expectThat(windows.filter { it.broken }).describedAs("$plan, seed $seed").isEqualTo(emptyList())
+    }
+
+    @Test
+    fun `routers with loads of the same age spread the prompts of calm traffic`() = expectBounded(small, 1L..10L)
+
+    @Test
+    @Tag("known-red")
+    fun `routers that act on loads of the same age do not overload an endpoint together`() =
+        expectBounded(small.copy(closed = 5), 1L..10L)
+
+    @Test
+    @Tag("known-red")
+    fun `routers that act on loads of the same age do not overload the endpoint of a popular prefix together`() =
+        listOf(0, 5).forEach { closed -> expectBounded(small.copy(closed = closed, hotShare = 0.28), 1L..10L) }
+
+    @Test
+    @Tag("known-red")
+    fun `many routers that act on loads of the same age do not overload an endpoint together`() =
+        listOf(large, larger).forEach { plan ->
+            expectBounded(plan.copy(closed = plan.endpoints / 3), 1L..2L)
+            expectBounded(plan.copy(hotShare = 0.28), 1L..2L)
+        }
+
+    private companion object {
+        const val MIN_REQUESTS = 400
+    }
+}
