Check the store's word on an endpoint again when a request is sent

Callers' requests reached endpoints that drained, had gone or were evacuated when the request was sent: the store's word was read when the endpoint was selected, and only what endpoints announce themselves was read again after the connection had been opened, up to 300 ms later.

SendLimits.accepted asks the same gate as the selection, for the same incarnation; a request that may not be sent any more is withheld and selects another endpoint without a retry.

--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -209,7 +209,12 @@
             cacheSource = selection.cacheSource,
             traceParent = exchange.traceParent,
         )
-        val limits = SendLimits(route.repeatable, state.deadline, wanted = { callerConnected })
+        val limits = SendLimits(
+            repeatable = route.repeatable,
+            deadline = state.deadline,
+            wanted = { callerConnected },
+            accepted = { dependencies.selector.accepts(selection) },
+        )
         val sent = dependencies.sender.send(request, plan, limits, activity)
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.availability.incarnation
 import comfreypath.coordination.cold.ColdAdmission
 import comfreypath.coordination.health.HealthFilter
 import comfreypath.coordination.model.EndpointName
@@ -195,8 +196,9 @@
     }
 
     /** True if the endpoint of an earlier [selection] is still registered and accepts requests. */
-    fun accepts(selection: Selection): Boolean =
-        view.endpoints.forService(selection.endpoint.service).any { it == selection.endpoint && gate.accepts(it) }
+    fun accepts(selection: Selection): Boolean = selection.endpoint.incarnation.let { selected ->
+        view.endpoints.forService(selected.service).any { it.incarnation == selected && gate.accepts(it) }
+    }
 
     /** Places a request with a prompt; more evenly while the endpoints of some versions get few requests. */
     private fun placeByPrompt(registered: List<Endpoint>, candidates: List<Candidate>, prefixId: Long): Candidate? {
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -47,8 +47,14 @@
  * @property repeatable whether the request may be sent on a connection that the endpoint may be closing
  * @property deadline when the request times out
  * @property wanted false once the caller has left
+ * @property accepted false once the endpoint gets no new requests
  */
-class SendLimits(val repeatable: Boolean, val deadline: Instant, val wanted: () -> Boolean = { true })
+class SendLimits(
+    val repeatable: Boolean,
+    val deadline: Instant,
+    val wanted: () -> Boolean = { true },
+    val accepted: () -> Boolean = { true },
+)
 
 /** Sends requests to endpoints and waits for the response heads. */
 class EndpointSender(
@@ -109,7 +115,7 @@
     private fun obstacle(endpoint: Endpoint, limits: SendLimits, timeLeft: Duration): AttemptOutcome? = when {
         !limits.wanted() -> AttemptOutcome.NotSent("the caller has left")
         timeLeft.toMillis() <= 0 -> AttemptOutcome.NotSent("the deadline has passed")
-        !tracker.announcements.of(endpoint).allowsRequests -> AttemptOutcome.Withheld
+        !limits.accepted() || !tracker.announcements.of(endpoint).allowsRequests -> AttemptOutcome.Withheld
         else -> null
     }
 
