Tell peers in status messages which endpoints have left

A leave took a datagram and then a fetch over HTTP from one peer. Departures carries it in the datagram: about ten bytes for each endpoint that left the sender's list in the last ten seconds, nothing in calm. A router holds such an endpoint for gone until its own list is as recent, for 30 s at most; it tells only of what its own list shows, so that a departure does not circulate.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/CompactSerializers.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/CompactSerializers.kt
@@ -64,3 +64,19 @@
         return if (null in pairs) null else InFlight(pairs.filterNotNull().toMap())
     }
 }
+
+/** Serializes [Departures] as comma-separated `KEY:REVISION` pairs. */
+internal object DeparturesSerializer : CompactSerializer<Departures>("KEY:REVISION,...") {
+    override fun write(value: Departures) = value.revisions.entries.joinToString(",") { (key, revision) ->
+        "${key.toString(RADIX)}:${revision.toString(RADIX)}"
+    }
+
+    override fun read(text: String): Departures? {
+        val pairs = text.split(',').filter { it.isNotEmpty() }.map { pair ->
+            val key = pair.substringBefore(':').toIntOrNull(RADIX)
+            val revision = pair.substringAfter(':', "").toLongOrNull(RADIX)
+            if (key == null || revision == null) null else key to revision
+        }
+        return if (null in pairs) null else Departures(pairs.filterNotNull().toMap())
+    }
+}
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -166,6 +166,7 @@
             rollouts = rolloutReports(),
             partReports = partReports(),
             storeFailingMilliseconds = store.failingFor.toMillis(),
+            departures = view.endpoints.departuresToTell(),
         )
 
     private fun receive(status: PeerStatus, sender: Address) {
@@ -177,6 +178,7 @@
         if (isLatest && status.from in liveNames) directLoads.put(status.from, status.inFlight, context.now())
         status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
         if (isLatest) outages.heard(status)
+        status.departures?.let { view.endpoints.hear(it, status.from) }
     }
 
     private fun step(event: GossipEvent) {
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
@@ -16,9 +16,10 @@
     /** True if [endpoint] may get new requests. */
     fun accepts(endpoint: Endpoint): Boolean = isInService(endpoint) && announcements.of(endpoint).allowsRequests
 
-    /** True unless the store says that the endpoint gets no requests. */
-    private fun isInService(endpoint: Endpoint): Boolean =
-        !endpoint.draining && endpoint.dataCentre.text !in view.evacuations.values
+    /** True unless the store says that the endpoint gets no requests, as far as this router or its peers know. */
+    private fun isInService(endpoint: Endpoint): Boolean = !endpoint.draining &&
+        endpoint.dataCentre.text !in view.evacuations.values &&
+        !view.endpoints.hasLeft(endpoint)
 
     /** What the [registered] endpoints of a service have announced; null unless it keeps every one of them out. */
     fun allOut(registered: List<Endpoint>): SelectionResult.AllOut? {
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -2,7 +2,11 @@
 
 import comfreypath.coordination.availability.Incarnation
 import comfreypath.coordination.availability.incarnation
+import comfreypath.coordination.fleet.DepartureLog
+import comfreypath.coordination.fleet.Departures
+import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.RemovalGrace
@@ -16,6 +20,7 @@
     private var grace = RemovalGrace()
     private var known: Map<EndpointName, Endpoint> = emptyMap()
     private var byService: Map<ServiceName, List<Endpoint>> = emptyMap()
+    private var departures = DepartureLog()
 
     /** The registered endpoints, by name. */
     val entries = KindView<Endpoint>(context, "endpoint")
@@ -41,6 +46,8 @@
                 "outageEndedAt" to outageEndedAt,
             )
         }
+        val left = known.values.filter { !it.draining && current[it.name]?.draining != false && it !in next.expiresAt }
+        departures = departures.listed(left.map { InFlight.key(it.name) }, entries.revision, context.now())
         grace = next
         known = current
         byService = current.values.groupBy { it.service }
@@ -52,6 +59,24 @@
         }
     }
 
+    /** The endpoints that have left lately, to tell peers; null if there are none. */
+    fun departuresToTell(): Departures? = departures.toTell(context.now())
+
+    /** Learns the endpoints of which [peer] says that they have left. */
+    fun hear(told: Departures, peer: InstanceName) {
+        val before = departures
+        departures = before.heard(told, entries.revision, context.now())
+        if (departures !== before) {
+            known.keys.filter { InFlight.key(it) in departures.heard && InFlight.key(it) !in before.heard }.forEach {
+                context.log.record("endpoint_departure_heard", "endpoint" to it, "peer" to peer)
+            }
+        }
+    }
+
+    /** True if a peer has told that [endpoint] has left, and the list does not show it yet. */
+    fun hasLeft(endpoint: Endpoint): Boolean =
+        departures.heard.isNotEmpty() && departures.hasLeft(InFlight.key(endpoint.name), context.now())
+
     /** True if [endpoint] is still cold at [now], by its last report of the remaining cold time. */
     fun isCold(endpoint: Endpoint, now: Instant): Boolean = warmTimes[endpoint.name]?.let { now < it.at } ?: false
 
