Fetch what a router lacks from several peers, and at last from the store

A router that was behind asked the one peer whose digest came first.

CatchUp remembers the peers that are ahead, asks the next one beside a peer that has not responded in 0.2 s, and lists from the store when no other is known. A delta that does not lead to the peer's objects is not applied any more: it brought the router to the peer's revision with other objects, and hid what it had missed.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -74,6 +74,9 @@
  */
 @Serializable(with = KindDigestSerializer::class)
 data class KindDigest(val revision: Long, val hash: Int) {
+    /** True if [other] is of later objects that differ from these. */
+    fun isBehind(other: KindDigest): Boolean = other.revision > revision && other.hash != hash
+
     companion object {
         /** The digest at [revision] of objects that were last changed at [revisions], by name. */
         fun of(revision: Long, revisions: Map<String, Long>) =
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -145,9 +145,14 @@
         return when (snapshot.since) {
             null -> FetchOutcome.SAME.also { sink.replace(objects, snapshot.revision, confirmedAt) }
             sink.digest?.revision -> {
-                val changed = objects.map { ObjectChange(it, removed = false) }
-                sink.apply(removals<T>(snapshot) + changed, snapshot.revision, confirmedAt)
-                if (sink.digest?.hash == snapshot.hash) FetchOutcome.SAME else FetchOutcome.DIFFERENT
+                val changes = removals<T>(snapshot) + objects.map { ObjectChange(it, removed = false) }
+                // A delta that does not lead to the peer's objects would hide what this router has missed.
+                if (sink.digestAfter(changes, snapshot.revision)?.hash == snapshot.hash) {
+                    sink.apply(changes, snapshot.revision, confirmedAt)
+                    FetchOutcome.SAME
+                } else {
+                    FetchOutcome.DIFFERENT
+                }
             }
             else -> FetchOutcome.NOTHING
         }
--- a/router/src/main/kotlin/comfreypath/router/peers/SnapshotPeerSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/SnapshotPeerSelector.kt
@@ -19,7 +19,7 @@
     private fun isAhead(peer: Peer, kind: ObjectKind<*>): Boolean {
         val theirs = peer.status?.digests?.get(kind.code)
         val own = view.digests()[kind.code]
-        return theirs != null && (own == null || theirs.revision > own.revision && theirs.hash != own.hash)
+        return theirs != null && own?.isBehind(theirs) ?: true
     }
 
     private fun hasNewerConfiguration(peer: Peer): Boolean {
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -285,7 +285,7 @@
 
 private fun ClusterView.basis(candidates: Int, loadsAge: Duration, now: Instant) = SelectionBasis(
     candidates = candidates,
-    endpointsAge = endpoints.entries.confirmedAt?.let { Duration.between(it, now) },
+    endpointsAge = endpoints.entries.agreedAt?.let { Duration.between(it, now) },
     loadsAge = loadsAge,
     configuration = configuration.current?.value?.version,
     configurationAge = configuration.age(),
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -26,6 +26,10 @@
     var confirmedAt: Instant? = null
         private set
 
+    /** When [values] was last confirmed, or found equal to a peer's objects; null before the first list. */
+    var agreedAt: Instant? = null
+        private set
+
     private val revisions = HashMap<String, Long>()
     private val documents = HashMap<String, String>()
     private val listeners = mutableListOf<() -> Unit>()
@@ -40,6 +44,18 @@
     override val digest: KindDigest?
         get() = lastDigest ?: confirmedAt?.let { KindDigest.of(revision, revisions) }.also { lastDigest = it }
 
+    override fun agreed(at: Instant) {
+        agreedAt = maxOf(at, agreedAt ?: at)
+    }
+
+    override fun digestAfter(changes: List<ObjectChange<T>>, revision: Long): KindDigest {
+        val next = HashMap(revisions)
+        changes.forEach { change ->
+            if (change.removed) next.remove(change.stored.name) else next[change.stored.name] = change.stored.revision
+        }
+        return KindDigest.of(revision, next)
+    }
+
     /** The store revision of the last change of the object called [name]; null if it is not known. */
     fun revisionOf(name: String): Long? = revisions[name]
 
@@ -54,16 +70,21 @@
             return
         }
         val decoded = HashMap<String, T>()
-        recordRemovals(objects, revision)
+        if (this.confirmedAt == null) {
+            removals.reset(revision)
+        } else {
+            removals.addMissing(revisions.keys, objects, revision)
+        }
         val previousNames = revisions.keys.toSet()
         revisions.clear()
         documents.clear()
         objects.forEach { track(it) }
-        objects.forEach { stored -> valueOrNull(stored)?.let { decoded[stored.name] = it } }
+        objects.forEach { stored -> stored.valueOrNull(context, label)?.let { decoded[stored.name] = it } }
         val previous = values
         values = decoded.toPersistentMap()
         this.revision = revision
         this.confirmedAt = confirmedAt
+        agreed(confirmedAt)
         lastDigest = null
         if (previous != values) {
             context.log.record("${label}s_listed", "count" to values.size, "revision" to revision)
@@ -74,8 +95,8 @@
 
     override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
         changes.forEach { change ->
-            val value = if (change.removed) null else valueOrNull(change.stored)
             val name = change.stored.name
+            val value = if (change.removed) null else change.stored.valueOrNull(context, label)
             values = if (value == null) values.remove(name) else values.put(name, value)
             if (change.removed) untrack(name, revision) else track(change.stored)
             context.log.record(
@@ -87,6 +108,7 @@
         }
         this.revision = maxOf(revision, this.revision)
         this.confirmedAt = confirmedAt
+        agreed(confirmedAt)
         lastDigest = null
         notify(changed = changes.isNotEmpty())
     }
@@ -110,15 +132,6 @@
         removals.add(name, revision)
     }
 
-    private fun recordRemovals(objects: List<StoredObject<T>>, revision: Long) {
-        if (confirmedAt == null) {
-            removals.reset(revision)
-        } else {
-            val listed = objects.mapTo(HashSet()) { it.name }
-            revisions.keys.filter { it !in listed }.forEach { removals.add(it, revision) }
-        }
-    }
-
     /**
      * The delta for a peer whose objects are at revision [since]. It is a full snapshot if [since] is null or the
      * changes after it are not all known, and null before the first list.
@@ -139,12 +152,12 @@
             )
         }
     }
-
-    private fun valueOrNull(stored: StoredObject<T>): T? = stored.value.fold(
-        success = { it },
-        failure = { reason ->
-            context.log.record("${label}_unreadable", label to stored.name, "reason" to reason)
-            null
-        },
-    )
 }
+
+private fun <T : Any> StoredObject<T>.valueOrNull(context: RouterContext, label: String): T? = value.fold(
+    success = { it },
+    failure = { reason ->
+        context.log.record("${label}_unreadable", label to name, "reason" to reason)
+        null
+    },
+)
--- a/router/src/main/kotlin/comfreypath/router/view/RemovalLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/RemovalLog.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.view
 
+import comfreypath.router.store.StoredObject
+
 /** Covers the endpoints that come and go in the seconds for which a peer may be disconnected. */
 private const val MAX_REMOVALS = 512
 
@@ -24,6 +26,12 @@
         }
     }
 
+    /** Records the removal of the [known] objects that are not in the list of [objects] at [revision]. */
+    fun addMissing(known: Set<String>, objects: List<StoredObject<*>>, revision: Long) {
+        val listed = objects.mapTo(HashSet()) { it.name }
+        known.filter { it !in listed }.forEach { add(it, revision) }
+    }
+
     /** The names of the objects removed after [revision], oldest first; null if not all of them are known. */
     fun since(revision: Long): List<String>? =
         if (revision < completeSince) null else removals.filter { it.revision > revision }.map { it.name }
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -85,7 +85,15 @@
     /** The revision of a stale list from which to watch; null if there is none or if it was long ago. */
     private var listedRevision: Long? = null
     private var behindSince: Instant? = null
-    private var fetchJob: Job? = null
+
+    /** The latest digest of a peer that was ahead. */
+    private var ahead: KindDigest? = null
+    private val catchUp = CatchUp(
+        context = context,
+        isBehind = { ahead?.let { sink.digest?.isBehind(it) ?: true } ?: false },
+        fetch = { hooks.fetchFromPeer(it) },
+        readStore = { list(allowStale = false) },
+    )
 
     /** True while the store does not respond to this router's calls for this kind. */
     val unavailable: Boolean get() = unavailableSince != null
@@ -130,17 +138,20 @@
     }
 
     /**
-     * Compares [theirs], the digest of [peer], with [own]. If this router is behind, it fetches the peer's snapshot; if
-     * it watches the store itself, it reopens the watch instead once it has been behind for too long.
+     * Compares [theirs], the digest of [peer], with [own]. If this router is behind, it fetches what it lacks from this
+     * and other peers; if it watches the store itself, it reopens the watch instead once it has been behind for too
+     * long.
      */
     fun compare(own: KindDigest?, theirs: KindDigest, peer: PeerAddress) {
         val now = context.now()
-        val behind = own == null || theirs.revision > own.revision && theirs.hash != own.hash
+        val behind = own?.isBehind(theirs) ?: true
+        if (own?.hash == theirs.hash) sink.agreed(now)
         val since = behindSince
         when {
             !behind -> if (own != null && own.revision >= theirs.revision) behindSince = null
-            watchJob == null -> if (fetchJob?.isActive != true) {
-                fetchJob = context.scope.launch { hooks.fetchFromPeer(peer) }
+            watchJob == null -> {
+                ahead = theirs.takeIf { it.revision >= (ahead?.revision ?: 0) } ?: ahead
+                catchUp.offer(peer)
             }
             since == null -> behindSince = now
             Duration.between(since, now) > MAX_LAG -> reopenWatch("a peer is at revision ${theirs.revision}")
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -17,6 +17,12 @@
     /** Replaces all objects with those that the store held at [revision], no earlier than [confirmedAt]. */
     fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant)
 
+    /** The digest of the objects after the changes up to [revision]; null if it is not known. */
+    fun digestAfter(changes: List<ObjectChange<T>>, revision: Long): KindDigest? = null
+
+    /** Records that a peer had the same objects at [at]. */
+    fun agreed(at: Instant) = Unit
+
     /** Applies the changes up to [revision], read no earlier than [confirmedAt]; the list may be empty. */
     fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant)
 }
