Take a router's own failing calls alone for no outage of the store

An outage is believed only if routers in two data centres report it, of which this one may be one; in an outage of the store every watching router fails. The grace period counts from when the router heard that the endpoint had left.

StoreOutagesTest demanded that a router's own calls alone are an outage, which is the fault; it now demands that they are none, and that they are one together with those of another data centre. RemovalPolicyTest and SilentPeerFetchTest have the late router; the latter failed before.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -16,8 +16,9 @@
  * Outages of the store, as routers report them: this router by its own calls, the others in their status messages.
  *
  * Answers the load in which many leases of live endpoints expire at once because the store was away, and most routers
- * did not call it meanwhile. A router that is cut off from a sound store reports an outage too, and so do the others in
- * its data centre; peers are therefore believed only if they are in two data centres.
+ * did not call it meanwhile. A router that is cut off from a sound store, or whose own link is full, reports an outage
+ * too, and so may the others in its data centre. Reports are therefore believed only if they come from two data
+ * centres, of which this router's may be one.
  *
  * @property self this router
  * @property failing the routers whose calls still fail, with the time of their last report
@@ -54,7 +55,7 @@
         val current = pruned(now)
         val reporting = (current.failing.keys + current.ended.keys).map { it.dataCentre }.distinct().size
         val believed = reporting >= minOf(MIN_DATA_CENTRES, dataCentres)
-        return current.ended.filterKeys { believed || it.name == self }.values.maxOrNull()
+        return if (believed) current.ended.values.maxOrNull() else null
     }
 
     private companion object {
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/RemovalGrace.kt
@@ -19,6 +19,19 @@
     fun activeEndpoints(now: Instant): List<Endpoint> = expiresAt.filterValues { now < it }.keys.toList()
 }
 
+/**
+ * The times that decide how long removed endpoints stay in use.
+ *
+ * @property now the time at which the router learns of the change
+ * @property outageEndedAt the end of the last store outage; null if there was none
+ * @property noticedAt when the router first heard that an endpoint had left, which is before [now] if it was behind
+ */
+class RemovalTimes(
+    val now: Instant,
+    val outageEndedAt: Instant?,
+    val noticedAt: (Endpoint) -> Instant = { now },
+)
+
 /**
  * Decides which endpoints stay in use for a grace period after their store entries were removed.
  *
@@ -34,21 +47,20 @@
     private val maxGrace: Duration = Duration.ofMillis(MAX_GRACE_MILLISECONDS)
 
     /**
-     * Applies a change of the entries from [before] to [after] at [now].
-     *
-     * @param outageEndedAt the end of the last store outage; null if there was none
+     * Applies a change of the entries from [before] to [after], of which the router learns at [RemovalTimes.now].
      */
     fun update(
         state: RemovalGrace,
         before: Map<EndpointName, Endpoint>,
         after: Map<EndpointName, Endpoint>,
-        outageEndedAt: Instant?,
-        now: Instant,
+        times: RemovalTimes,
     ): RemovalGrace {
+        val now = times.now
         val kept = state.expiresAt.filter { (endpoint, expiresAt) -> now < expiresAt && endpoint.name !in after }
         val removed = before.values.filter { it.name !in after && !it.draining }
-        val expiresAt = outageEndedAt?.plus(reregistrationTime)?.takeIf { now < it }?.coerceAtMost(now + maxGrace)
-        val added = if (expiresAt == null) emptyMap() else removed.associateWith { expiresAt }
-        return RemovalGrace(persistentMapOf<Endpoint, Instant>().putAll(kept + added))
+        val added = times.outageEndedAt?.plus(reregistrationTime)?.let { end ->
+            removed.associateWith { end.coerceAtMost(times.noticedAt(it) + maxGrace) }.filterValues { now < it }
+        }
+        return RemovalGrace(persistentMapOf<Endpoint, Instant>().putAll(kept + added.orEmpty()))
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -11,6 +11,7 @@
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.RemovalGrace
 import comfreypath.coordination.routing.RemovalPolicy
+import comfreypath.coordination.routing.RemovalTimes
 import comfreypath.router.RouterContext
 import java.time.Instant
 
@@ -37,7 +38,9 @@
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
         val outageEndedAt = storeOutageEndedAt()
-        val next = RemovalPolicy.update(grace, known, current, outageEndedAt, context.now())
+        val now = context.now()
+        val times = RemovalTimes(now, outageEndedAt) { departures.heard[InFlight.key(it.name)]?.at ?: now }
+        val next = RemovalPolicy.update(grace, known, current, times)
         (next.expiresAt.keys - grace.expiresAt.keys).forEach {
             context.log.record(
                 "endpoint_kept_without_entry",
