Compress the configurations that routers fetch from each other, and spread the fetches

Cause behind the requests to leaving endpoints: the router that has a new configuration first tells all peers, and nearly all of them fetched it whole from that one. With a link of 10 Mbit/s it was cut off by its own answers for 1 to 2 s with 250 routes (61 of 71 fetches from front-fi-south-a-5 failed) and for about 5 s with 1,569, while it learnt of no leave and its requests waited.

A router waits for a random time of up to 4 ms a peer before it fetches, in which others come to have the configuration too, and chooses one of them.

SnapshotEncoderTest: 70 peers get a configuration of 250 routes in less than half a megabyte. Decompressed bodies keep the limit of 8 MiB (CompressionTest).

--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -23,11 +23,16 @@
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.time.Duration
+import kotlin.random.Random
 
 private const val MAX_WATCH_SECONDS = 25L
 
+/** The time over which the fetches of a new configuration are spread, for each live peer. */
+private const val FETCH_SPREAD_PER_PEER_MILLISECONDS = 4L
+
 /** The time after the start in which a router hears from its peers, if they started at the same moment. */
 private const val PEER_DISCOVERY_MILLISECONDS = 1_500L
 
@@ -51,6 +56,9 @@
     private val watcherSelector = StoreWatcherSelector()
     private val confirmations = ConfirmationPolicy(watcherSelector)
     private var configurationFetch: Job? = null
+
+    /** The peers that have told of a newer configuration since the last fetch. */
+    private val configurationSources = LinkedHashSet<PeerAddress>()
     private val snapshots = PeerSnapshots(
         context,
         store,
@@ -112,12 +120,20 @@
         view.evacuations.onChange { peers.announceUpdate(toAll = shouldWatch(ObjectKinds.EVACUATIONS)) }
     }
 
-    /** Fetches the newer configuration of [peer]; reads it from the store if that fails. */
+    /**
+     * Fetches the newer configuration of [peer], or of another peer that has it; reads it from the store if that fails.
+     *
+     * In a large fleet, most routers hear of a configuration at the same moment from the few that have it. They wait
+     * for a random time, in which others come to have it too, and choose one of them at random.
+     */
     private fun fetchNewerConfiguration(peer: PeerAddress) {
+        configurationSources += peer
         if (configurationFetch?.isActive != true) {
             configurationFetch = context.scope.launch {
-                val address = Address(peer.host, peer.port)
-                if (!snapshots.fetch(address, ObjectKinds.CONFIGURATION, configurationSink)) {
+                delay(Random.nextLong(FETCH_SPREAD_PER_PEER_MILLISECONDS * (peers.live.size + 1)))
+                val source = configurationSources.random()
+                configurationSources.clear()
+                if (!snapshots.fetch(Address(source.host, source.port), ObjectKinds.CONFIGURATION, configurationSink)) {
                     probe.probe()
                 }
             }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -13,14 +13,16 @@
 import comfreypath.router.view.StoreSink
 import comfreypath.transport.Address
 import comfreypath.transport.ClientResponse
+import comfreypath.transport.GZIP_ENCODING
 import comfreypath.transport.HttpClient
 import comfreypath.transport.HttpServer
 import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
+import comfreypath.transport.JSON_CONTENT_TYPE
 import comfreypath.transport.OutgoingRequest
 import comfreypath.transport.ResponseWriter
+import comfreypath.transport.gunzip
 import comfreypath.transport.respond
-import comfreypath.transport.respondJson
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.serialization.Serializable
@@ -70,6 +72,7 @@
 ) {
     private val server = HttpServer(context.loop, HttpServerOptions(), ::handle)
     private val client = HttpClient(context.loop, context.clock)
+    private val encoder = SnapshotEncoder()
 
     /** Starts serving peers. */
     suspend fun start() {
@@ -80,11 +83,14 @@
     suspend fun stop() = server.stop()
 
     private suspend fun handle(request: IncomingRequest, writer: ResponseWriter) {
-        val snapshot = sources[request.path.removePrefix(PATH)]?.invoke(request.queryParameter(SINCE)?.toLongOrNull())
+        val label = request.path.removePrefix(PATH)
+        val snapshot = sources[label]?.invoke(request.queryParameter(SINCE)?.toLongOrNull())
         if (snapshot == null) {
             writer.respond(HttpResponseStatus.NOT_FOUND, emptyMap(), ByteArray(0))
         } else {
-            writer.respondJson(HttpResponseStatus.OK, snapshot)
+            val body = encoder.encode(label, snapshot, context.now())
+            val encoding = body.encoding?.let { mapOf(CONTENT_ENCODING to it) }.orEmpty()
+            writer.respond(HttpResponseStatus.OK, encoding + (CONTENT_TYPE to JSON_CONTENT_TYPE), body.bytes)
         }
     }
 
@@ -131,8 +137,12 @@
         return outcome
     }
 
-    private fun decode(response: ClientResponse): Result<KindSnapshot, String> =
-        if (response.successful) decodeKindSnapshot(response.text()) else Err("status ${response.status}")
+    private fun decode(response: ClientResponse): Result<KindSnapshot, String> = when {
+        !response.successful -> Err("status ${response.status}")
+        response.headers[CONTENT_ENCODING] == GZIP_ENCODING ->
+            gunzip(response.body, MAX_SNAPSHOT_BYTES).andThen { decodeKindSnapshot(it.decodeToString()) }
+        else -> decodeKindSnapshot(response.text())
+    }
 
     private fun <T : Any> apply(
         snapshot: KindSnapshot,
@@ -166,5 +176,8 @@
         const val PATH = "/v1/copies/"
         const val SINCE = "since"
         const val TIMEOUT_MILLISECONDS = 800L
+        const val CONTENT_TYPE = "content-type"
+        const val CONTENT_ENCODING = "content-encoding"
+        const val MAX_SNAPSHOT_BYTES = 8 * 1_048_576
     }
 }
