--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/PrefixShares.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/PrefixShares.kt
@@ -6,6 +6,9 @@
 private const val WINDOW_SECONDS = 5L
 private const val MAX_REQUESTS = 4_096
 
+/** Fewer requests with a prefix are no evidence that it is popular. */
+private const val MIN_REQUESTS = 5
+
 /** The multiple of an even share of the requests that one endpoint gets by a single prefix. */
 private const val MAX_SHARES_AT_ONE_ENDPOINT = 1.3
 
@@ -33,8 +36,8 @@
 
     /** The number of endpoints, of [candidates], over which the requests with [prefixId] are to be spread. */
     fun copies(prefixId: Long, candidates: Int): Int {
-        val others = (counts[prefixId] ?: 0) - 1
-        val evenShares = if (others <= 0) 0.0 else others.toDouble() * candidates / requests.size
+        val count = counts[prefixId] ?: 0
+        val evenShares = if (count < MIN_REQUESTS) 0.0 else (count - 1.0) * candidates / requests.size
         return (evenShares / MAX_SHARES_AT_ONE_ENDPOINT).toInt().coerceIn(1, maxOf(1, candidates))
     }
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointLoads.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLoads.kt
@@ -26,8 +26,12 @@
     fun candidates(eligible: List<Endpoint>, holdTime: Duration?, now: Instant): List<Candidate> {
         val reports = LoadReports(peers.names.size, peers.loadsAge, holdTime)
         val entries = eligible.map { tracker.entry(it.name) }
-        val window = LoadProjection.window(reports, eligible.size) { ago -> entries.sumOf { it.sentSince(now - ago) } }
-        val recent = entries.map { it.sentSince(now - window) }
+        val window = LoadProjection.window(reports, eligible.size) { ago ->
+            val since = now - ago
+            entries.sumOf { it.sentSince(since) }
+        }
+        val since = now - window
+        val recent = IntArray(entries.size) { entries[it].sentSince(since) }
         val projection = LoadProjection(reports, window, recent.sum(), eligible.size)
         return eligible.mapIndexed { index, endpoint ->
             val entry = entries[index]
@@ -38,8 +42,11 @@
 
     /** The mean load of [registered] endpoints, of which requests may go to [candidates]; 0 if there are none. */
     fun mean(registered: List<Endpoint>, candidates: List<Candidate>): Double {
-        val names = candidates.mapTo(HashSet()) { it.endpoint.name }
-        val others = registered.filter { it.name !in names }.sumOf { of(it) }
+        val others = if (registered.size == candidates.size) {
+            0
+        } else {
+            registered.sumOf { of(it) } - candidates.sumOf { it.load }
+        }
         val count = registered.size
         return if (count == 0) 0.0 else (candidates.meanLoad() * candidates.size + others) / count
     }
