Fetch a configuration only from peers that have its version, and compress only on request

Sources are kept with their versions, and the store is read if the version is still missing after the fetch. A peer of an earlier release does not ask for gzip and gets none.

--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -57,8 +57,8 @@
     private val confirmations = ConfirmationPolicy(watcherSelector)
     private var configurationFetch: Job? = null
 
-    /** The peers that have told of a newer configuration since the last fetch. */
-    private val configurationSources = LinkedHashSet<PeerAddress>()
+    /** The versions of the peers that have told of a newer configuration since the last fetch. */
+    private val configurationSources = LinkedHashMap<PeerAddress, Long>()
     private val snapshots = PeerSnapshots(
         context,
         store,
@@ -126,14 +126,16 @@
      * In a large fleet, most routers hear of a configuration at the same moment from the few that have it. They wait
      * for a random time, in which others come to have it too, and choose one of them at random.
      */
-    private fun fetchNewerConfiguration(peer: PeerAddress) {
-        configurationSources += peer
+    private fun fetchNewerConfiguration(peer: PeerAddress, version: Long) {
+        configurationSources[peer] = version
         if (configurationFetch?.isActive != true) {
             configurationFetch = context.scope.launch {
                 delay(Random.nextLong(FETCH_SPREAD_PER_PEER_MILLISECONDS * (peers.live.size + 1)))
-                val source = configurationSources.random()
+                val latest = configurationSources.values.max()
+                val source = configurationSources.filterValues { it == latest }.keys.random()
+                snapshots.fetch(Address(source.host, source.port), ObjectKinds.CONFIGURATION, configurationSink)
                 configurationSources.clear()
-                if (!snapshots.fetch(Address(source.host, source.port), ObjectKinds.CONFIGURATION, configurationSink)) {
+                if ((view.configuration.current?.value?.version ?: 0) < latest) {
                     probe.probe()
                 }
             }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -96,8 +96,8 @@
     /** Called for the reports on open rollouts that a peer has sent. */
     var onRolloutReports: (InstanceName, RolloutReports) -> Unit = { _, _ -> }
 
-    /** Called when a peer has a newer configuration. */
-    var onNewerConfiguration: (PeerAddress) -> Unit = {}
+    /** Called when a peer has a newer configuration, with its version. */
+    var onNewerConfiguration: (PeerAddress, Long) -> Unit = { _, _ -> }
 
     init {
         view.endpoints.storeOutageEndedAt = outages::lastOutageEndedAt
@@ -202,7 +202,7 @@
         when {
             known == action.version -> view.configuration.confirm(action.confirmedAt)
             known == null || known < action.version ->
-                state.peers[action.peerName]?.let { onNewerConfiguration(it.address) }
+                state.peers[action.peerName]?.let { onNewerConfiguration(it.address, action.version) }
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -88,7 +88,8 @@
         if (snapshot == null) {
             writer.respond(HttpResponseStatus.NOT_FOUND, emptyMap(), ByteArray(0))
         } else {
-            val body = encoder.encode(label, snapshot, context.now())
+            val compress = request.headers[ACCEPT_ENCODING] == GZIP_ENCODING
+            val body = encoder.encode(label, snapshot, context.now(), compress)
             val encoding = body.encoding?.let { mapOf(CONTENT_ENCODING to it) }.orEmpty()
             writer.respond(HttpResponseStatus.OK, encoding + (CONTENT_TYPE to JSON_CONTENT_TYPE), body.bytes)
         }
@@ -116,7 +117,8 @@
         val sentAt = context.now()
         val timeout = Duration.ofMillis(TIMEOUT_MILLISECONDS)
         val path = PATH + kind.label + since?.let { "?$SINCE=$it" }.orEmpty()
-        val request = OutgoingRequest(HttpMethod.GET, path, headTimeout = timeout, chunkTimeout = timeout)
+        val accepted = mapOf(ACCEPT_ENCODING to GZIP_ENCODING)
+        val request = OutgoingRequest(HttpMethod.GET, path, accepted, headTimeout = timeout, chunkTimeout = timeout)
         val snapshot = client.fetch(peer, request).mapError { it.toString() }.andThen(::decode).fold(
             success = { it },
             failure = { reason ->
@@ -178,6 +180,7 @@
         const val TIMEOUT_MILLISECONDS = 800L
         const val CONTENT_TYPE = "content-type"
         const val CONTENT_ENCODING = "content-encoding"
+        const val ACCEPT_ENCODING = "accept-encoding"
         const val MAX_SNAPSHOT_BYTES = 8 * 1_048_576
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/peers/SnapshotEncoder.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/SnapshotEncoder.kt
@@ -23,10 +23,17 @@
 
     private val cached = HashMap<String, Cached>()
 
-    /** The body for [snapshot] of the kind called [label]. The age in it may be too high by the time of reuse. */
-    fun encode(label: String, snapshot: KindSnapshot, now: Instant): EncodedBody {
+    /**
+     * The body for [snapshot] of the kind called [label], for a peer that accepts a compressed one if [compress] is
+     * true. The age in it may be too high by the time of reuse.
+     */
+    fun encode(label: String, snapshot: KindSnapshot, now: Instant, compress: Boolean = true): EncodedBody {
         val known = cached[label]?.takeIf { now < it.until && it.snapshot.hasObjectsOf(snapshot) }
-        return (known ?: cache(snapshot, now).also { cached[label] = it }).body
+        return when {
+            !compress -> EncodedBody(Json.encodeToString(snapshot).encodeToByteArray(), encoding = null)
+            known != null -> known.body
+            else -> cache(snapshot, now).also { cached[label] = it }.body
+        }
     }
 
     private fun cache(snapshot: KindSnapshot, now: Instant): Cached {
