Ask a peer again that tells of something newer, and spread the reads of the store

The store is asked 0.5 to 1 s after the start, at random, at most every two seconds, and a failure of that call does not count.

--- a/router/src/main/kotlin/comfreypath/router/view/CatchUp.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/CatchUp.kt
@@ -4,22 +4,29 @@
 import comfreypath.router.RouterContext
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import java.time.Duration
+import java.time.Instant
+import kotlin.random.Random
 
 /** Far longer than a sound peer takes to respond. */
 private const val HEDGE_DELAY_MILLISECONDS = 200L
-private const val MAX_PEERS = 4
-
-/** The delays after which the store is asked while no other peer is known. */
-private const val MIN_ROUNDS = 2
+private const val MAX_WAITING_PEERS = 4
+private const val MAX_CALLS = 3
+private const val MIN_STORE_DELAY_MILLISECONDS = 500L
+private const val STORE_DELAY_SPREAD_MILLISECONDS = 500L
+private const val STORE_INTERVAL_SECONDS = 2L
+private const val MAX_DURATION_SECONDS = 2L
 
 /**
  * Fetches what this router lacks from the peers that have it.
  *
- * A peer that does not respond in time is not waited for: the next one is asked beside it, and the store if no other is
- * known. Which of them are slow, cut off or behind can't be told before.
+ * A peer that does not respond in time is not waited for: the next one is asked beside it. Which of them are slow, cut
+ * off or behind can't be told before. The store is asked if no peer has helped for a random time, since the routers of
+ * a fleet may all miss the same peer, and no more often than every two seconds.
  *
  * @property isBehind whether peers still have something that this router lacks
  * @property fetch fetches the objects from a peer
@@ -31,46 +38,53 @@
     private val fetch: suspend (PeerAddress) -> Unit,
     private val readStore: suspend () -> Unit,
 ) {
-    private val asked = LinkedHashSet<PeerAddress>()
     private val waiting = LinkedHashSet<PeerAddress>()
+    private val active = LinkedHashMap<PeerAddress, Job>()
     private var job: Job? = null
+    private var storeAskedAt = Instant.EPOCH
 
     /** Records that [peer] has what this router lacks, and starts to fetch it unless that is under way. */
     fun offer(peer: PeerAddress) {
-        if (job?.isActive == true) {
-            if (peer !in asked && asked.size + waiting.size < MAX_PEERS) waiting += peer
-        } else {
-            asked.clear()
-            waiting.clear()
-            waiting += peer
+        if (waiting.size < MAX_WAITING_PEERS) waiting += peer
+        if (job?.isActive != true) {
             job = context.scope.launch { run() }
         }
     }
 
     private suspend fun run() = coroutineScope {
-        var calls = emptyList<Job>()
-        var rounds = 0
-        var storeAsked = false
-        fun exhausted() = storeAsked && waiting.isEmpty() && calls.isEmpty()
-        while (isBehind() && !exhausted()) {
-            val peer = waiting.firstOrNull()
-            if (peer != null) {
+        val startedAt = context.now()
+        val askStoreAt = startedAt + MIN_STORE_DELAY.plusMillis(Random.nextLong(STORE_DELAY_SPREAD_MILLISECONDS))
+        var storeCall: Job? = null
+        active.clear()
+        while (isBehind() && context.now() < startedAt + MAX_DURATION) {
+            active.values.removeIf { !it.isActive }
+            val peer = waiting.firstOrNull { it !in active }
+            if (peer != null && active.size < MAX_CALLS) {
                 waiting -= peer
-                asked += peer
-                calls = calls + launch { fetch(peer) }
-            } else if (!storeAsked && (rounds >= MIN_ROUNDS || calls.isEmpty())) {
-                storeAsked = true
-                calls = calls + launch { readStore() }
+                active[peer] = launch { fetch(peer) }
+            } else if (context.now() >= maxOf(askStoreAt, storeAskedAt + STORE_INTERVAL)) {
+                storeAskedAt = context.now()
+                storeCall = launch { readStore() }
             }
-            rounds += 1
-            awaitAny(calls)
-            calls = calls.filter { it.isActive }
+            awaitAny(active.values + listOfNotNull(storeCall?.takeIf { it.isActive }))
         }
-        calls.forEach { it.cancel() }
+        waiting.clear()
+        active.values.forEach { it.cancel() }
+        storeCall?.cancel()
     }
 
     /** Waits until one of [calls] has ended, but no longer than for the delay. */
-    private suspend fun awaitAny(calls: List<Job>) = withTimeoutOrNull(HEDGE_DELAY_MILLISECONDS) {
-        select { calls.forEach { call -> call.onJoin { } } }
+    private suspend fun awaitAny(calls: List<Job>) {
+        if (calls.isEmpty()) {
+            delay(HEDGE_DELAY_MILLISECONDS)
+        } else {
+            withTimeoutOrNull(HEDGE_DELAY_MILLISECONDS) { select { calls.forEach { call -> call.onJoin { } } } }
+        }
+    }
+
+    private companion object {
+        val MIN_STORE_DELAY: Duration = Duration.ofMillis(MIN_STORE_DELAY_MILLISECONDS)
+        val STORE_INTERVAL: Duration = Duration.ofSeconds(STORE_INTERVAL_SECONDS)
+        val MAX_DURATION: Duration = Duration.ofSeconds(MAX_DURATION_SECONDS)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -92,7 +92,7 @@
         context = context,
         isBehind = { ahead?.let { sink.digest?.isBehind(it) ?: true } ?: false },
         fetch = { hooks.fetchFromPeer(it) },
-        readStore = { list(allowStale = false) },
+        readStore = { list(allowStale = false, regular = false) },
     )
 
     /** True while the store does not respond to this router's calls for this kind. */
@@ -167,15 +167,18 @@
         }
     }
 
-    /** Lists all pages and returns the revision to watch from, or null after a failure. */
-    private suspend fun list(allowStale: Boolean): Long? {
+    /**
+     * Lists all pages and returns the revision to watch from, or null after a failure. The failure of a call that is
+     * not [regular] does not count as one of the store: many routers may make it at once, and be rejected for that.
+     */
+    private suspend fun list(allowStale: Boolean, regular: Boolean = true): Long? {
         val objects = ArrayList<StoredObject<T>>()
         var revision: Long? = null
         var next: String? = null
         val startedAt = context.now()
         do {
             val page = store.list(kind, next, allowStale)
-                .fold(success = { it }, failure = { failed("list", it) }) ?: return null
+                .fold(success = { it }, failure = { if (regular) failed("list", it) else null }) ?: return null
             objects += page.objects
             revision = minOf(revision ?: page.revision, page.revision)
             next = page.next
