Believe an outage of the store also from reports that come after the removals

And one router that believed no outage ended the grace period of all others: it told them that the endpoints had left, at a later revision than their lists, which showed the same.

Routers tell for ten seconds that an outage of their calls has ended, and a few peers at once when it begins. Whether there was an outage is asked when an endpoint is used, not once when its entry is removed. Departures concern only endpoints that the router's own list still shows, at an older revision. Data centres are counted with their routers that are not heard, so that a router that is cut off alone believes nobody but two of them.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/Departures.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/Departures.kt
@@ -61,8 +61,9 @@
         .takeIf { it.isNotEmpty() }
         ?.let { notices -> Departures(notices.mapValues { it.value.revision }) }
 
-    /** True if the endpoint with [key] has left, as peers tell and this router's list does not show yet. */
-    fun hasLeft(key: Int, now: Instant): Boolean = heard[key]?.let { now < it.at + maxHeard } ?: false
+    /** True if the endpoint with [key] has left, as peers tell and this router's list at [revision] can't show yet. */
+    fun hasLeft(key: Int, revision: Long, now: Instant): Boolean =
+        heard[key]?.let { it.revision > revision && now < it.at + maxHeard } ?: false
 
     private fun recent(notices: Map<Int, DepartureNotice>, age: Duration, now: Instant) =
         notices.filterValues { now < it.at + age }
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -28,6 +28,8 @@
  * @property partReports prompt parts that may crash endpoints
  * @property storeFailingMilliseconds time for which the sender's calls to the store have failed without a response, 0
  * after a response
+ * @property storeOutageEndedMilliseconds time since the last failure of that kind of a second or more ended; null if it
+ * was long ago
  * @property departures endpoints that have left the sender's list lately; null if there are none
  */
 @Serializable
@@ -46,6 +48,7 @@
     @SerialName("q") val replyRequested: Boolean = false,
     @SerialName("p") val partReports: List<PartReport> = emptyList(),
     @SerialName("u") val storeFailingMilliseconds: Long = 0,
+    @SerialName("v") val storeOutageEndedMilliseconds: Long? = null,
     @SerialName("d") val departures: Departures? = null,
 )
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -34,11 +34,20 @@
 
     /** Records that the calls of [router] have failed for [failingFor], which is zero after a response. */
     fun reported(router: ReportingRouter, failingFor: Duration, now: Instant): StoreOutages = when {
-        failingFor >= minOutage -> copy(failing = failing.put(router, now))
+        failingFor >= MIN_OUTAGE -> copy(failing = failing.put(router, now))
         router in failing -> copy(failing = failing.remove(router), ended = ended.put(router, now)).pruned(now)
         else -> this
     }
 
+    /** Records that an outage of the calls of [router] ended at [at]. */
+    fun ended(router: ReportingRouter, at: Instant, now: Instant): StoreOutages =
+        if (Duration.between(at, now) > maxReportAge) this else copy(ended = ended.put(router, at)).pruned(now)
+
+    /** The time since the last outage of this router's own calls ended, to tell peers; null if it was long ago. */
+    fun ownEndedAgo(now: Instant): Duration? =
+        ended.filterKeys { it.name == self }.values.maxOrNull()?.let { Duration.between(it, now) }
+            ?.takeIf { it <= maxReportAge }
+
     private fun pruned(now: Instant) =
         copy(failing = failing.withoutOld(now), ended = ended.withoutOld(now))
 
@@ -58,8 +67,9 @@
         return if (believed) current.ended.values.maxOrNull() else null
     }
 
-    private companion object {
-        val minOutage: Duration = Duration.ofMillis(MIN_OUTAGE_MILLISECONDS)
-        val maxReportAge: Duration = Duration.ofSeconds(MAX_REPORT_AGE_SECONDS)
+    companion object {
+        /** The shortest time for which calls fail in an outage. */
+        val MIN_OUTAGE: Duration = Duration.ofMillis(MIN_OUTAGE_MILLISECONDS)
+        private val maxReportAge: Duration = Duration.ofSeconds(MAX_REPORT_AGE_SECONDS)
     }
 }
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/DepartureLogTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/DepartureLogTest.kt
@@ -17,15 +17,15 @@
     @Test
     fun `a router that hears of a departure holds the endpoint for gone before it has the list`() {
         val behind = DepartureLog().heard(told, revision = 19, now)
-        expectThat(behind.hasLeft(KEY, now)).isTrue()
-        expectThat(behind.hasLeft(OTHER_KEY, now)).isFalse()
+        expectThat(behind.hasLeft(KEY, 19, now)).isTrue()
+        expectThat(behind.hasLeft(OTHER_KEY, 19, now)).isFalse()
     }
 
     @Test
     fun `a list that is as recent decides by itself, also if the endpoint has registered again`() {
         val caughtUp = DepartureLog().heard(told, revision = 19, now).listed(emptyList(), revision = 20, now)
-        expectThat(caughtUp.hasLeft(KEY, now)).isFalse()
-        expectThat(caughtUp.heard(told, revision = 20, now).hasLeft(KEY, now)).isFalse()
+        expectThat(caughtUp.hasLeft(KEY, 20, now)).isFalse()
+        expectThat(caughtUp.heard(told, revision = 20, now).hasLeft(KEY, 20, now)).isFalse()
     }
 
     @Test
@@ -40,7 +40,7 @@
     @Test
     fun `a departure that no list shows is forgotten`() {
         val heard = DepartureLog().heard(told, revision = 19, now)
-        expectThat(heard.hasLeft(KEY, now.plusSeconds(30))).isFalse()
+        expectThat(heard.hasLeft(KEY, 19, now.plusSeconds(30))).isFalse()
     }
 
     @Test
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
@@ -34,6 +34,20 @@
         expectThat(recovered.last(now.plusMillis(900))).isEqualTo(now.plusMillis(700))
     }
 
+    @Test
+    fun `an outage of which nobody was heard while it lasted is learnt from those whose calls had failed`() {
+        val told = none.ended(peerInA, now.minusMillis(300), now).ended(peerInB, now.minusMillis(200), now)
+        expectThat(told.last(now)).isEqualTo(now.minusMillis(200))
+        expectThat(none.ended(peerInB, now.minusMillis(200), now).last(now)).isNull()
+    }
+
+    @Test
+    fun `a router tells for ten seconds that an outage of its calls has ended`() {
+        val recovered = none.reported(self, long, now).reported(self, Duration.ZERO, now)
+        expectThat(recovered.ownEndedAgo(now.plusSeconds(10))).isEqualTo(Duration.ofSeconds(10))
+        expectThat(recovered.ownEndedAgo(now.plusMillis(10_001))).isNull()
+    }
+
     @Test
     fun `a watch that was cut off is no outage`() {
         val cutOff = none.reported(self, Duration.ofMillis(300), now)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -82,7 +82,9 @@
     /** Called with the reports of prompt parts in each recent message of a peer. */
     var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
 
-    private val outages = StoreOutageReports(context) { fleet.dataCentreCount }
+    private val outages = StoreOutageReports(context) {
+        state.peers.values.map { it.address.dataCentre }.plus(context.options.dataCentre).distinct().size
+    }
 
     /** Whether the store responds to this router. */
     val store: StoreReachability get() = outages.store
@@ -118,6 +120,9 @@
         context.launchLoop("gossip") {
             view.configuration.checkClocks()
             socket.readPending()
+            if (outages.shouldAnnounce()) {
+                announceUpdate(toAll = false)
+            }
             if (context.now() >= state.dueAt) {
                 step(GossipEvent.Tick(ownStatus))
             }
@@ -166,6 +171,7 @@
             rollouts = rolloutReports(),
             partReports = partReports(),
             storeFailingMilliseconds = store.failingFor.toMillis(),
+            storeOutageEndedMilliseconds = outages.ownEndedAgo?.toMillis(),
             departures = view.endpoints.departuresToTell(),
         )
 
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
@@ -18,7 +18,11 @@
 /** Decodes a status message of a peer; the error is a text for the log. */
 internal fun decodePeerStatus(text: String): Result<PeerStatus, String> =
     decodeJson<PeerStatus>(text).andThen { status ->
-        val ages = listOfNotNull(status.storeResponseAgeMilliseconds, status.configuration?.ageMilliseconds)
+        val ages = listOfNotNull(
+            status.storeResponseAgeMilliseconds,
+            status.configuration?.ageMilliseconds,
+            status.storeOutageEndedMilliseconds,
+        )
         when {
             ages.any { it !in AGES } -> Err("an age is out of range")
             status.echo?.let { it.milliseconds < 0 } ?: false -> Err("the echoed time is out of range")
--- a/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
@@ -16,6 +16,10 @@
 internal class StoreOutageReports(private val context: RouterContext, private val dataCentreCount: () -> Int) {
     private val self = ReportingRouter(context.options.name, context.options.dataCentre)
     private var outages = StoreOutages(context.options.name)
+    private var announced = false
+
+    /** The time since the last outage of this router's own calls ended; null if it was long ago. */
+    val ownEndedAgo: Duration? get() = outages.ownEndedAgo(context.now())
 
     /** Whether the store responds to this router. */
     val store = StoreReachability(context.clock) { failedFor ->
@@ -29,9 +33,25 @@
         return outages.lastEndedAt(context.now(), dataCentreCount())
     }
 
-    /** Records the report in a peer's latest status message. */
-    fun heard(status: PeerStatus) =
-        report(ReportingRouter(status.from, status.dataCentre), Duration.ofMillis(status.storeFailingMilliseconds))
+    /** Returns true once in each outage of this router's own calls, when peers should hear of it. */
+    fun shouldAnnounce(): Boolean {
+        val failing = store.failingFor >= StoreOutages.MIN_OUTAGE
+        return (failing && !announced).also { announced = failing }
+    }
+
+    /** Records the reports in a peer's latest status message. */
+    fun heard(status: PeerStatus) {
+        val router = ReportingRouter(status.from, status.dataCentre)
+        val before = lastOutageEndedAt()
+        report(router, Duration.ofMillis(status.storeFailingMilliseconds))
+        status.storeOutageEndedMilliseconds?.let {
+            outages = outages.ended(router, context.now().minusMillis(it), context.now())
+        }
+        val after = lastOutageEndedAt()
+        if (after != null && before == null) {
+            context.log.record("store_outage_believed", "peer" to status.from, "endedAt" to after)
+        }
+    }
 
     private fun report(router: ReportingRouter, failingFor: Duration) {
         outages = outages.reported(router, failingFor, context.now())
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -11,7 +11,6 @@
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.RemovalGrace
 import comfreypath.coordination.routing.RemovalPolicy
-import comfreypath.coordination.routing.RemovalTimes
 import comfreypath.router.RouterContext
 import java.time.Instant
 
@@ -37,21 +36,17 @@
 
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
-        val outageEndedAt = storeOutageEndedAt()
         val now = context.now()
-        val times = RemovalTimes(now, outageEndedAt) { departures.heard[InFlight.key(it.name)]?.at ?: now }
-        val next = RemovalPolicy.update(grace, known, current, times)
-        (next.expiresAt.keys - grace.expiresAt.keys).forEach {
-            context.log.record(
-                "endpoint_kept_without_entry",
-                "endpoint" to it.name,
-                "until" to next.expiresAt[it],
-                "outageEndedAt" to outageEndedAt,
-            )
+        val previous = grace.noticedAt.keys
+        grace = RemovalPolicy.update(grace, known, current, now) { endpoint ->
+            departures.heard[InFlight.key(endpoint.name)]?.at ?: now
         }
-        val left = known.values.filter { !it.draining && current[it.name]?.draining != false && it !in next.expiresAt }
-        departures = departures.listed(left.map { InFlight.key(it.name) }, entries.revision, context.now())
-        grace = next
+        val kept = grace.activeEndpoints(now, storeOutageEndedAt()).toSet()
+        (kept - previous).forEach {
+            context.log.record("endpoint_kept_without_entry", "endpoint" to it.name, "noticedAt" to grace.noticedAt[it])
+        }
+        val left = known.values.filter { !it.draining && current[it.name]?.draining != false && it !in kept }
+        departures = departures.listed(left.map { InFlight.key(it.name) }, entries.revision, now)
         known = current
         byService = current.values.groupBy { it.service }
         warmTimes.keys.removeIf { it !in current }
@@ -76,9 +71,12 @@
         }
     }
 
-    /** True if a peer has told that [endpoint] has left, and the list does not show it yet. */
-    fun hasLeft(endpoint: Endpoint): Boolean =
-        departures.heard.isNotEmpty() && departures.hasLeft(InFlight.key(endpoint.name), context.now())
+    /**
+     * True if a peer has told that [endpoint] has left, and the list does not show it yet. Endpoints that are kept
+     * without an entry are not concerned: this router's list shows that they have none.
+     */
+    fun hasLeft(endpoint: Endpoint): Boolean = departures.heard.isNotEmpty() && endpoint.name in known &&
+        departures.hasLeft(InFlight.key(endpoint.name), entries.revision, context.now())
 
     /** True if [endpoint] is still cold at [now], by its last report of the remaining cold time. */
     fun isCold(endpoint: Endpoint, now: Instant): Boolean = warmTimes[endpoint.name]?.let { now < it.at } ?: false
@@ -86,18 +84,20 @@
     /** The usable endpoints of [service], including draining ones. */
     fun forService(service: ServiceName): List<Endpoint> {
         val registered = byService[service].orEmpty()
-        return if (grace.expiresAt.isEmpty()) {
+        return if (grace.noticedAt.isEmpty()) {
             registered
         } else {
-            registered + grace.activeEndpoints(context.now()).filter { it.service == service }
+            registered + keptEndpoints().filter { it.service == service }
         }
     }
 
+    private fun keptEndpoints(): List<Endpoint> = grace.activeEndpoints(context.now(), storeOutageEndedAt())
+
     /** True if [incarnation] has an entry, or is kept although its entry expired. */
     fun isUsable(incarnation: Incarnation): Boolean = known[incarnation.name]?.incarnation == incarnation ||
-        grace.activeEndpoints(context.now()).any { it.incarnation == incarnation }
+        keptEndpoints().any { it.incarnation == incarnation }
 
     /** True if the endpoint [name] is registered, or is kept although its entry expired. */
     fun isUsable(name: EndpointName): Boolean =
-        name in known || grace.activeEndpoints(context.now()).any { it.name == name }
+        name in known || keptEndpoints().any { it.name == name }
 }
