Let the raw stand-in queue as many connections as a test opens

The line of the request, which the test names since the last time, says why: NotSent, connect: connection timed out, after 304 ms, with 61 requests in flight at the one endpoint. The test sends 300 long bodies; the stand-in's listener queued 50 connections, and the kernel drops the others when the accepting thread is late. The router's refusal was true.

The queue holds 1,024 now; checks and bounds are unchanged.

--- a/daemon/src/test/kotlin/comfreypath/daemon/RawEndpoint.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RawEndpoint.kt
@@ -9,7 +9,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.concurrent.thread
 
-private const val BACKLOG = 50
+/** More than the connections that a test opens at once; others are dropped and time out. */
+private const val BACKLOG = 1_024
 
 /** The head of a request that a [RawEndpoint] has received. */
 internal class RawRequest(val head: String) {
