Count the grace period of removed endpoints from when the router knew that it was behind

It had passed since only if the read of the store in CatchUp, 0.5 to 1 s after the start at random, came before the test's outage and so shortened it.

The period counted from when the removal was applied unless a peer had told of the departure. It counts now from the first digest that showed that the router was behind, which does not depend on what the peer's message carries.

--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -39,7 +39,7 @@
         val now = context.now()
         val previous = grace.noticedAt.keys
         grace = RemovalPolicy.update(grace, known, current, now) { endpoint ->
-            departures.heard[InFlight.key(endpoint.name)]?.at ?: now
+            departures.heard[InFlight.key(endpoint.name)]?.at ?: entries.behindSince ?: now
         }
         val kept = grace.activeEndpoints(now, storeOutageEndedAt()).toSet()
         (kept - previous).forEach {
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -30,6 +30,8 @@
     var agreedAt: Instant? = null
         private set
 
+    override var behindSince: Instant? = null
+
     private val revisions = HashMap<String, Long>()
     private val documents = HashMap<String, String>()
     private val listeners = mutableListOf<() -> Unit>()
@@ -91,6 +93,7 @@
         }
         // Listeners also distinguish an object that can't be read from one that is gone.
         notify(changed = previous != values || previousNames != revisions.keys)
+        behindSince = null
     }
 
     override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
@@ -111,6 +114,7 @@
         agreed(confirmedAt)
         lastDigest = null
         notify(changed = changes.isNotEmpty())
+        behindSince = null
     }
 
     private fun notify(changed: Boolean) {
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -151,6 +151,7 @@
             !behind -> if (own != null && own.revision >= theirs.revision) behindSince = null
             watchJob == null -> {
                 ahead = theirs.takeIf { it.revision >= (ahead?.revision ?: 0) } ?: ahead
+                if (sink.behindSince == null) sink.behindSince = now
                 catchUp.offer(peer)
             }
             since == null -> behindSince = now
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -17,6 +17,11 @@
     /** Replaces all objects with those that the store held at [revision], no earlier than [confirmedAt]. */
     fun replace(objects: List<StoredObject<T>>, revision: Long, confirmedAt: Instant)
 
+    /** Since when it has been known that a peer has later objects; null if none has, or if it is not kept. */
+    var behindSince: Instant?
+        get() = null
+        set(_) = Unit
+
     /** The digest of the objects after the changes up to [revision]; null if it is not known. */
     fun digestAfter(changes: List<ObjectChange<T>>, revision: Long): KindDigest? = null
 
