--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -11,6 +11,7 @@
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.router.RouterContext
 import comfreypath.router.rollout.AttemptProbe
+import comfreypath.router.sending.ConnectionUse
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.ResponseActivity
 import comfreypath.router.sending.SendLimits
@@ -55,6 +56,7 @@
     private var state = RetryState(route, exchange.deadline)
     private var stream: StreamRelay? = null
     private var probe: AttemptProbe? = null
+    private var connection: ConnectionUse? = null
 
     /** False once the caller has disconnected; no further attempt is made then. */
     var callerConnected = true
@@ -118,6 +120,7 @@
         try {
             val activity = stallWatch.activity(selection)
             val attempt = stallWatch.run(selection, state, activity) { attempt(selection, activity) }
+            connection = activity.connection
             outcome = attempt.outcome
             val answered = attempt.outcome is AttemptOutcome.Answered
             if (answered && selection.load < selection.endpoint.slots) {
@@ -171,6 +174,8 @@
             "configuration" to selection.basis.configuration,
             "configurationAgeMs" to selection.basis.configurationAge?.toMillis(),
             "cacheSource" to selection.cacheSource?.name,
+            "connectionPort" to connection?.localPort,
+            "connectionRequests" to connection?.requestNumber,
             "outcome" to outcome,
             "action" to decision.javaClass.simpleName,
             "firstMs" to exchange.firstByteAt?.let { Duration.between(request.receivedAt, it).toMillis() },
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -25,6 +25,9 @@
     /** Whether the request is the first one on its connection. */
     val firstOnConnection: Boolean get() = connection.exchanges == 1
 
+    /** The connection, and which request on it this is. */
+    val use: ConnectionUse get() = ConnectionUse(connection.localPort, connection.exchanges)
+
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart {
         activity.recordAwaiting()
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -137,6 +137,7 @@
             return SendResult.Failed(AttemptOutcome.NotSent("the connection had closed"))
         }
         val sentAt = context.now()
+        activity.connection = exchange.use
         activity.recordAwaiting()
         entry.recordSent(sentAt)
         var responded = false
@@ -202,6 +203,8 @@
                     "answer_of_other_request",
                     "request" to awaited.request,
                     "answerTo" to head.requestId,
+                    "connectionPort" to exchange.use.localPort,
+                    "connectionRequests" to exchange.use.requestNumber,
                 )
                 null
             }
--- a/router/src/main/kotlin/comfreypath/router/sending/ResponseActivity.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/ResponseActivity.kt
@@ -3,6 +3,14 @@
 import java.time.Duration
 import java.time.Instant
 
+/**
+ * The connection on which a request was sent.
+ *
+ * @property localPort the router's port; null if the connection had closed
+ * @property requestNumber 1 for the first request on the connection
+ */
+data class ConnectionUse(val localPort: Int?, val requestNumber: Int)
+
 /**
  * Tracks since when an attempt has been waiting for its endpoint.
  *
@@ -13,6 +21,9 @@
     var awaitingSince: Instant? = null
         private set
 
+    /** The connection on which the request was sent; null before that. */
+    var connection: ConnectionUse? = null
+
     /** Records that the next part of the response is awaited from now on. */
     fun recordAwaiting() {
         awaitingSince = awaitingSince ?: now()
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.net.InetSocketAddress
 import kotlinx.coroutines.channels.Channel as Queue
 
 private const val HIGH_WATERMARK_PARTS = 256
@@ -43,6 +44,9 @@
     private var writing = false
     private var aborted = false
 
+    /** The local port, by which the server's own log names the connection; null once it has closed. */
+    val localPort: Int? get() = (channel.localAddress() as? InetSocketAddress)?.port
+
     /** The number of requests that were sent on this connection, including the one in progress. */
     var exchanges = 0
         private set
