Send no request twice on one connection

Callers were told "not run, try again" for requests that ran (REFUSED), such requests ran at a second server (TWICE), and callers got a success where the server had answered with a failure (MIXED).

Cause: a faulty server may send a refusal once more, with the request's ID, while that request is under way again on the same connection. ResponseOwnership took the ID for a proof that the response is to the latest sending. The exchange ended with the copy, and its connection went back to the pool while the real answer was still due. A request comes again on a connection when its caller sends it again with its ID, and also without that: a restarted server has two entries at one address, the older one's 421 and the newer one's response then have the same ID and the same connection.

Now a connection remembers the IDs that it has carried, and the pool never hands it out for one of these.

--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -87,7 +87,7 @@
         if (connectTimeout.toMillis() <= 0) {
             return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed"))
         }
-        return pool.acquire(address, idleLimit, connectTimeout).fold(
+        return pool.acquire(address, idleLimit, connectTimeout, request.id.text).fold(
             success = { acquired ->
                 val timeLeft = Duration.between(context.now(), deadline)
                 val obstacle = obstacle(plan.endpoint, limits, timeLeft)
@@ -131,7 +131,7 @@
         val span = context.tracing.start("endpoint", plan.traceParent)
         val head = dialect.encode(request, plan)
         span.traceParent?.let { head.headers.set(TRACE_PARENT, it) }
-        if (!connection.send(head, request.body)) {
+        if (!connection.send(head, request.body, request.id.text)) {
             exchange.close()
             span.end(succeeded = false)
             return SendResult.Failed(AttemptOutcome.NotSent("the connection had closed"))
--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionPool.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionPool.kt
@@ -27,13 +27,17 @@
 
     /**
      * Acquires a connection that has been idle for at most [maxIdleTime], or opens one, waiting for at most [timeout].
+     *
+     * @param requestId the ID of the request that is to be sent; the connection has not carried it before, since the
+     * server's response to the earlier request might then be taken for the one to the next
      */
     suspend fun acquire(
         address: Address,
         maxIdleTime: Duration,
         timeout: Duration,
+        requestId: String? = null,
     ): Result<PooledConnection, ExchangeFailure.ConnectFailed> {
-        val reused = acquireIdle(address, maxIdleTime)
+        val reused = acquireIdle(address, maxIdleTime, requestId)
         if (reused != null) {
             return Ok(PooledConnection(reused, reused = true))
         }
@@ -51,14 +55,16 @@
         }
     }
 
-    private fun acquireIdle(address: Address, maxIdleTime: Duration): HttpConnection? {
+    private fun acquireIdle(address: Address, maxIdleTime: Duration, requestId: String?): HttpConnection? {
         val idleConnections = idle[address] ?: ArrayDeque()
         val now = clock.instant()
         while (idleConnections.isNotEmpty() && !idleConnections.last().usable(now)) {
             discard(idleConnections.removeLast().connection)
         }
-        val latest = idleConnections.lastOrNull()?.takeIf { Duration.between(it.idleSince, now) <= maxIdleTime }
-        latest?.let { idleConnections.removeLast() }
+        val latest = idleConnections.lastOrNull { idleConnection ->
+            idleConnection.usable(now) && requestId?.let { it in idleConnection.connection.carriedIds } != true
+        }?.takeIf { Duration.between(it.idleSince, now) <= maxIdleTime }
+        latest?.let { idleConnections.remove(it) }
         return latest?.connection
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -44,6 +44,9 @@
     private var writing = false
     private var aborted = false
 
+    /** The IDs of the requests that were sent on this connection. */
+    val carriedIds = CarriedIds()
+
     /** The local port, by which the server's own log names the connection; null once it has closed. */
     val localPort: Int? get() = (channel.localAddress() as? InetSocketAddress)?.port
 
@@ -60,7 +63,8 @@
      * completely, no other request may follow it.
      */
     val reusable: Boolean
-        get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0
+        get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0 &&
+            !carriedIds.full
 
     private val full: Boolean get() = queued >= HIGH_WATERMARK_PARTS || queuedBytes >= HIGH_WATERMARK_BYTES
 
@@ -74,11 +78,14 @@
      *
      * A failed write aborts the response. The channel closes itself then without reading on, so that the reset behind
      * the failure would look like the regular end of a response without a length.
+     *
+     * @param id the ID that the server echoes in its response; null if it echoes none
      */
-    fun send(head: RequestHead, body: ByteArray): Boolean {
+    fun send(head: RequestHead, body: ByteArray, id: String? = null): Boolean {
         if (!channel.isActive) {
             return false
         }
+        id?.let { carriedIds.add(it) }
         exchangeInProgress = true
         exchanges += 1
         interimCount = 0
