Reuse no connection on which a part of a response has arrived

Callers got a success where their server had answered with a failure (MIXED), and were told "not run" for what ran (REFUSED).

Cause: a server that sent the beginning of an earlier response's head behind a response left it in the decoder. The connection looked idle, carried the next request, and the two heads were read as one: "HTTP/1.1 200 HTTP/1.1 500 Failed" is a 200, with the ID and the signature of the request that failed.

The decoder now tells whether it is within a response, as that of requests did, and such a connection is closed instead of reused.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -30,9 +30,15 @@
  * A server may send a late response to an earlier exchange, or unsolicited bytes. The connection therefore passes on
  * every response that it receives, and callers match responses to requests. It is reusable only while no unsolicited
  * data has arrived.
+ *
+ * @property address the address of the server
+ * @property partiallyReceived whether a part of a response has arrived, but not its end
  */
-class HttpConnection internal constructor(private val channel: Channel, val address: Address) :
-    MessageHandler<HttpObject>() {
+class HttpConnection internal constructor(
+    private val channel: Channel,
+    val address: Address,
+    private val partiallyReceived: () -> Boolean,
+) : MessageHandler<HttpObject>() {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
     private var queued = 0
     private var queuedBytes = 0
@@ -64,7 +70,7 @@
      */
     val reusable: Boolean
         get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0 &&
-            !carriedIds.full
+            !carriedIds.full && !partiallyReceived()
 
     private val full: Boolean get() = queued >= HIGH_WATERMARK_PARTS || queuedBytes >= HIGH_WATERMARK_BYTES
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
@@ -10,16 +10,10 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import java.net.ConnectException
 import java.time.Duration
 
-private const val MAX_HEADER_BYTES = 65_536
-
 /** Opens client connections on one event loop. */
 class HttpConnector(private val loop: EventLoop) {
     /** Opens a connection, waiting for at most [timeout]. */
@@ -32,11 +26,13 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.toMillis().toInt())
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val connection = HttpConnection(channel, address)
+                    lateinit var connection: HttpConnection
+                    val decoder = ResponseDecoder { connection.method }
+                    connection = HttpConnection(channel, address) { decoder.partial }
                     opened = connection
                     channel.pipeline()
                         .addLast(HttpRequestEncoder())
-                        .addLast(MethodAwareDecoder { connection.method })
+                        .addLast(decoder)
                         .addLast(connection)
                 }
             })
@@ -57,12 +53,3 @@
         }
     }
 }
-
-/** Treats the response to a HEAD request as having no body, whatever its headers say. */
-private class MethodAwareDecoder(private val method: () -> HttpMethod) :
-    HttpResponseDecoder(
-        HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
-    ) {
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        method() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
-}
--- a/transport/src/main/kotlin/comfreypath/transport/StrictRequestDecoder.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/StrictRequestDecoder.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
-import io.netty.handler.codec.http.LastHttpContent
 
 /**
  * Rejects requests that have both Content-Length and Transfer-Encoding: chunked, since two parsers may disagree on
@@ -13,21 +12,13 @@
  */
 internal class StrictRequestDecoder(maxHeaderBytes: Int) :
     HttpRequestDecoder(HttpDecoderConfig().setMaxHeaderSize(maxHeaderBytes).setMaxInitialLineLength(maxHeaderBytes)) {
-    private var decodedPart = false
+    private val progress = DecodingProgress()
 
     /** True while bytes of a request have been received that is not complete. */
-    val partial: Boolean get() = decodedPart || actualReadableBytes() > 0
+    val partial: Boolean get() = progress.partial || actualReadableBytes() > 0
 
-    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        val readable = buffer.readableBytes()
-        val messages = out.size
-        super.decode(context, buffer, out)
-        if (out.size > messages && out.last() is LastHttpContent) {
-            decodedPart = false
-        } else if (buffer.readableBytes() < readable) {
-            decodedPart = true
-        }
-    }
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) =
+        progress.track(buffer, out) { super.decode(context, buffer, out) }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
         throw IllegalArgumentException("Transfer-Encoding and Content-Length are both set")
