--- a/daemon/src/test/kotlin/comfreypath/daemon/PartialCopyTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/PartialCopyTest.kt
@@ -68,6 +68,18 @@
     fun `a part of a refusal that follows a response does not make the next request look refused`() =
         expectOnly(OK, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nServer: ", late = false)
 
+    @Test
+    fun `a part of a success that arrives while a request runs does not turn its failure into a success`() {
+        listOf("HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nServer: ").forEach { expectOnly(FAILED, it, late = true) }
+        expectThat(joined.size).isGreaterThan(0)
+    }
+
+    @Test
+    fun `a part of a refusal that arrives while a request runs does not make it look refused`() {
+        expectOnly(OK, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nServer: ", late = true)
+        expectThat(joined.size).isGreaterThan(0)
+    }
+
     private companion object {
         const val OK = 200
         const val FAILED = 500
