Close an idle connection for each one opened because of a repeated ID

When every idle connection that is fresh enough has carried the ID, the oldest of them is now closed for the new one.

--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionPool.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionPool.kt
@@ -61,10 +61,12 @@
         while (idleConnections.isNotEmpty() && !idleConnections.last().usable(now)) {
             discard(idleConnections.removeLast().connection)
         }
-        val latest = idleConnections.lastOrNull { idleConnection ->
-            idleConnection.usable(now) && requestId?.let { it in idleConnection.connection.carriedIds } != true
-        }?.takeIf { Duration.between(it.idleSince, now) <= maxIdleTime }
-        latest?.let { idleConnections.remove(it) }
+        val recent = idleConnections.filter { it.usable(now) && Duration.between(it.idleSince, now) <= maxIdleTime }
+        val latest = recent.lastOrNull { requestId == null || requestId !in it.connection.carriedIds }
+        // A caller that repeats one ID would else keep opening connections beside idle ones.
+        val superseded = if (latest == null) recent.firstOrNull() else null
+        idleConnections.remove(latest ?: superseded)
+        superseded?.let { discard(it.connection) }
         return latest?.connection
     }
 
