Let a response continue a begun stream only if it is one

Callers saw the text of another endpoint's error in the middle of their stream, and streams that ended as complete after a part of their events.

A stream that breaks off is resumed at the next endpoint. Any response with status 200 counted as its continuation there: of another content type, with events that have no id, or without any event, which ended the stream. Failures (500, 503, 404), broken heads and refusals were dropped before, too.

A continuation needs the content type of the response that began the stream, and a first event with an id or the format's mark of the end. Until then nothing is passed on, so that another endpoint can be tried, or the caller's connection is aborted where the stream stands.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -55,6 +55,9 @@
     /** The response was ended within an event of a stream. */
     TRUNCATED,
 
+    /** The response does not continue the stream that has begun. */
+    NO_CONTINUATION,
+
     /** The endpoint sent nothing at all for a while, and the request left it for another one. */
     STALLED,
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -41,6 +41,7 @@
             "Unknown(reason=OUT_OF_MEMORY)",
             "Unknown(reason=EVENT_TOO_LONG)",
             "Unknown(reason=TRUNCATED)",
+            "Unknown(reason=NO_CONTINUATION)",
             "Unknown(reason=STALLED)",
             "Unknown(reason=SLOW)",
             "Unknown(reason=TIMED_OUT)",
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
@@ -61,8 +61,12 @@
 
     /** An engine may interleave chunks of other responses; each chunk carries the ID of its request. */
     override fun belongsTo(event: StreamEvent, request: CallerRequest): Boolean {
-        val data = ServerSentEventParser().feed(event.bytes).singleOrNull()?.data
+        val data = dataOf(event)
         return data == null || data == ServerSentEvent.DONE ||
             decodeJson<ChatCompletionChunk>(data).fold(success = { it.id == request.id.text }, failure = { false })
     }
+
+    override fun marksEnd(event: StreamEvent): Boolean = dataOf(event) == ServerSentEvent.DONE
+
+    private fun dataOf(event: StreamEvent): String? = ServerSentEventParser().feed(event.bytes).singleOrNull()?.data
 }
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -114,7 +114,7 @@
                 sender = sender,
                 trackers = trackers,
                 invariants = RelayInvariants(context, view),
-                belongsTo = formats.endpoints::belongsTo,
+                streams = formats.endpoints,
             ),
         )::relay,
     )
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -32,7 +32,7 @@
 /**
  * The collaborators that the attempts of all requests share.
  *
- * @property belongsTo whether an event of a stream belongs to a request
+ * @property streams the format of the endpoints' streams
  */
 class RelayDependencies(
     val context: RouterContext,
@@ -40,7 +40,7 @@
     val sender: EndpointSender,
     val trackers: Trackers,
     val invariants: RelayInvariants,
-    val belongsTo: (StreamEvent, CallerRequest) -> Boolean,
+    val streams: StreamFormat,
 )
 
 /** Sends one request to one endpoint after another until its caller can be given a result. */
@@ -232,15 +232,14 @@
     }
 
     private fun newStreamRelay(head: EndpointResponseHead) = StreamRelay(
-        writer = exchange.writer,
-        memory = exchange.memory.response,
+        exchange = exchange,
+        format = dependencies.streams,
         head = head,
         onStart = {
             exchange.firstByteAt = context.now()
             dependencies.trackers.evidence.answerBegan(request)
         },
         onEvents = { probe?.recordEvents(it) },
-        belongsTo = { dependencies.belongsTo(it, request) },
     )
 
     private suspend fun readResponse(selection: Selection, sent: SendResult.Responding): CompletedAttempt {
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -9,15 +9,12 @@
 import java.time.Duration
 
 /** Adapter of one wire format that endpoints use: encodes requests and reads the heads of responses. */
-interface EndpointDialect {
+interface EndpointDialect : StreamFormat {
     /** Encodes the head of a request to the endpoint in [plan]. */
     fun encode(request: CallerRequest, plan: SendPlan): RequestHead
 
     /** Reads the head of an endpoint's response. */
     fun read(status: Int, headers: HttpHeaders): EndpointResponseHead
-
-    /** Whether an event of a stream belongs to [request]; events of other requests are dropped. */
-    fun belongsTo(event: StreamEvent, request: CallerRequest): Boolean = true
 }
 
 /**
--- a/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EventSplitter.kt
@@ -9,7 +9,11 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
 /** A complete event of a stream as received, including the blank line that ends it; [id] is null if it has none. */
-class StreamEvent(val bytes: ByteArray, val id: Long?)
+class StreamEvent(val bytes: ByteArray, val id: Long?) {
+    /** True if the event has only comments, which keep an idle stream open, or is empty. */
+    val isComment: Boolean
+        get() = String(bytes, Charsets.ISO_8859_1).lineSequence().all { it.isBlank() || it.startsWith(":") }
+}
 
 /** Splits the bytes of a `text/event-stream` into complete events and buffers an incomplete one. */
 class EventSplitter {
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -26,6 +26,7 @@
         UnknownReason.TOO_MUCH_FOREIGN,
         UnknownReason.BODY_TOO_LONG,
         UnknownReason.EVENT_TOO_LONG,
+        UnknownReason.NO_CONTINUATION,
         -> HealthEvidence.LOST
         UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
--- a/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ResponseReader.kt
@@ -88,7 +88,7 @@
 
     /** Relays a stream through [relay]. */
     suspend fun relayStream(relay: StreamRelay, sent: SendResult.Responding): CompletedAttempt =
-        when (val end = relay.relayFrom(sent.exchange)) {
+        when (val end = relay.relayFrom(sent.exchange, sent.head)) {
             StreamEnd.Complete -> CompletedAttempt(
                 AttemptOutcome.Answered(sent.head.status),
                 RelayResult.Streamed(complete = true),
@@ -97,6 +97,7 @@
             is StreamEnd.Aborted -> CompletedAttempt(AttemptOutcome.Unknown(end.reason.toUnknownReason()))
             StreamEnd.EventTooLong -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.EVENT_TOO_LONG))
             StreamEnd.OutOfMemory -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.OUT_OF_MEMORY))
+            StreamEnd.NoContinuation -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.NO_CONTINUATION))
             StreamEnd.Truncated -> CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.TRUNCATED))
         }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -2,12 +2,15 @@
 
 import comfreypath.router.sending.EndpointExchange
 import comfreypath.transport.AbortReason
-import comfreypath.transport.MemoryBudget
 import comfreypath.transport.ResponsePart
-import comfreypath.transport.ResponseWriter
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.io.ByteArrayOutputStream
 
+/** The media type of a response that names none. */
+private val STREAM_MEDIA_TYPE = HttpHeaderValues.TEXT_EVENT_STREAM.toString()
+
 /** How the stream of one endpoint ended. */
 sealed interface StreamEnd {
     /** The endpoint sent the stream to its end. */
@@ -22,6 +25,9 @@
     /** The endpoint ended its response within an event. */
     data object Truncated : StreamEnd
 
+    /** The response is no stream that continues the one that has begun. */
+    data object NoContinuation : StreamEnd
+
     /** The endpoint's stream ended early or could not be read. */
     data class Aborted(val reason: AbortReason) : StreamEnd
 }
@@ -32,20 +38,25 @@
  * Only complete events are relayed, so that a stream that aborts within an event can resume after the last complete
  * one. The head is written with the first event: until then the response can still come from another endpoint.
  *
- * @property memory holds an event until it is complete
+ * @property exchange receives the stream; its memory holds an event until that is complete
+ * @property format the format of the events
  * @property head the head of the response whose first event starts the stream
  * @property onStart called when the first event goes to the caller
  * @property onEvents called with the number of events of the caller's request that have arrived
- * @property belongsTo whether an event belongs to the caller's request; other events are dropped
  */
 class StreamRelay(
-    private val writer: ResponseWriter,
-    private val memory: MemoryBudget.Account,
+    private val exchange: CallerExchange,
+    private val format: StreamFormat,
     private val head: EndpointResponseHead,
     private val onStart: () -> Unit,
     private val onEvents: (Int) -> Unit,
-    private val belongsTo: (StreamEvent) -> Boolean,
 ) {
+    private val writer = exchange.writer
+    private val memory = exchange.memory.response
+
+    /** False while a response that is to continue the stream has not shown that it does. */
+    private var continues = true
+
     /** The id of the last event relayed; null before the first. */
     var lastEventId: Long? = null
         private set
@@ -54,44 +65,68 @@
     var started = false
         private set
 
-    /** Relays the events of [exchange] until it ends. */
-    suspend fun relayFrom(exchange: EndpointExchange): StreamEnd {
+    /**
+     * Relays the events of [source], whose head is [sourceHead], until it ends.
+     *
+     * Once the stream has begun, the response must continue it: with the same content type, and beginning with an event
+     * that has an id or that marks the end. An error that an endpoint sends as a success would else become a part of
+     * the stream, or its end.
+     */
+    suspend fun relayFrom(source: EndpointExchange, sourceHead: EndpointResponseHead): StreamEnd {
+        continues = !started
+        if (started && sourceHead.mediaType != head.mediaType) return StreamEnd.NoContinuation
         val splitter = EventSplitter()
         try {
-            return relayFrom(exchange, splitter)
+            return relayFrom(source, splitter)
         } finally {
             memory.remove(splitter.reservedBytes)
         }
     }
 
-    private suspend fun relayFrom(exchange: EndpointExchange, splitter: EventSplitter): StreamEnd {
+    private suspend fun relayFrom(source: EndpointExchange, splitter: EventSplitter): StreamEnd {
         var roomLeft = true
-        var part = exchange.next()
+        var part = source.next()
         while (part is ResponsePart.Bytes && !splitter.overflowed && roomLeft) {
-            write(splitter.feed(part.bytes))
+            val events = splitter.feed(part.bytes)
+            if (!mayContinueWith(events)) return StreamEnd.NoContinuation
+            if (continues) write(events)
             roomLeft = splitter.reserve(memory)
-            if (roomLeft) part = exchange.next()
-        }
-        val complete = part == ResponsePart.End && !splitter.partial
-        if (complete) {
-            start()
-            writer.end()
+            if (roomLeft) part = source.next()
         }
         return when (part) {
-            ResponsePart.End -> if (complete) StreamEnd.Complete else StreamEnd.Truncated
+            ResponsePart.End -> ended(splitter)
             is ResponsePart.Aborted -> StreamEnd.Aborted(part.reason)
             is ResponsePart.Bytes -> if (roomLeft) StreamEnd.EventTooLong else StreamEnd.OutOfMemory
             is ResponsePart.Head -> StreamEnd.Aborted(AbortReason.MALFORMED)
         }
     }
 
+    private suspend fun ended(splitter: EventSplitter): StreamEnd = when {
+        splitter.partial -> StreamEnd.Truncated
+        !continues -> StreamEnd.NoContinuation
+        else -> {
+            start()
+            writer.end()
+            StreamEnd.Complete
+        }
+    }
+
+    /** Returns false if [events] show that the response does not continue the stream. */
+    private fun mayContinueWith(events: List<StreamEvent>): Boolean {
+        val first = events.firstOrNull { !it.isComment }
+        if (!continues && first != null) {
+            continues = first.id != null || format.marksEnd(first)
+        }
+        return continues || first == null
+    }
+
     private suspend fun write(events: List<StreamEvent>) {
         val bytes = ByteArrayOutputStream()
         var relayed = 0
         events.forEach { event ->
             val last = lastEventId
             val duplicate = event.id != null && last != null && event.id <= last
-            if (!duplicate && belongsTo(event)) {
+            if (!duplicate && format.belongsTo(event, exchange.request)) {
                 bytes.writeBytes(event.bytes)
                 lastEventId = event.id ?: last
                 relayed += 1
@@ -112,3 +147,7 @@
         }
     }
 }
+
+private val EndpointResponseHead.mediaType: String
+    get() = (forwardedHeaders.get(HttpHeaderNames.CONTENT_TYPE) ?: STREAM_MEDIA_TYPE)
+        .substringBefore(';').trim().lowercase()
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -72,7 +72,7 @@
         sender = EndpointSender(context, ConnectionPool(connector, clock), dialect, tracker),
         trackers = trackers,
         invariants = RelayInvariants(context, view),
-        belongsTo = { _, _ -> true },
+        streams = object : StreamFormat {},
     )
     private val service = ServiceName("model")
     private val route = Route(
--- a/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
@@ -85,7 +85,7 @@
         sender = EndpointSender(context, pool, dialect, tracker),
         trackers = trackers,
         invariants = RelayInvariants(context, view),
-        belongsTo = { _, _ -> true },
+        streams = object : StreamFormat {},
     )
     private val service = ServiceName("model")
     private val route = Route(
