Count a call of a claim shard that ends by an exception as failed

Callers would have got 503 (claims_unavailable) for every idempotency key of a shard until the process was started again.

A driver's state says that a call is in progress until the call reports its result. A call that ended by an exception reported none, and the shard waited for it for good.

ClaimShardDriverTest fails the first read, the first write before it takes effect and the first one after it: before, the claim timed out ("failure 0"), now each is granted. Its tests of a hand-over between two drivers, around a write that is delayed and one that takes effect unnoticed, passed on the code before, too.

--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
@@ -17,6 +17,8 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineName
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.time.Duration
 import java.time.Instant
@@ -59,8 +61,9 @@
         next.actions.forEach { action ->
             when (action) {
                 is ClaimShardAction.Complete -> complete(action)
-                is ClaimShardAction.Read -> context.scope.launch { read() }
-                is ClaimShardAction.Write -> context.scope.launch { write(action) }
+                is ClaimShardAction.Read -> call(ClaimShardEvent.ReadFailed) { read() }
+                is ClaimShardAction.Write ->
+                    call(ClaimShardEvent.WriteNotConfirmed(conflict = false)) { write(action) }
             }
         }
     }
@@ -69,16 +72,26 @@
         waiters.remove(action.operation)?.forEach { it.complete(action.result) }
     }
 
-    private suspend fun read() {
-        store.read(ObjectKinds.CLAIMS, name).fold(
-            success = { stored -> toLoadedShard(stored)?.let { step(ClaimShardEvent.ReadDone(it)) } ?: failRead() },
-            failure = { step(ClaimShardEvent.ReadFailed) },
-        )
+    /** Calls the store in the background; a call that fails unexpectedly ends with [failure], and is logged. */
+    private fun call(failure: ClaimShardEvent, storeCall: suspend () -> ClaimShardEvent) {
+        context.scope.launch(CoroutineName("call claim shard")) {
+            var event = failure
+            try {
+                event = storeCall()
+            } finally {
+                if (isActive) step(event)
+            }
+        }
     }
 
-    private fun failRead() {
+    private suspend fun read(): ClaimShardEvent = store.read(ObjectKinds.CLAIMS, name).fold(
+        success = { stored -> toLoadedShard(stored)?.let { ClaimShardEvent.ReadDone(it) } ?: failRead() },
+        failure = { ClaimShardEvent.ReadFailed },
+    )
+
+    private fun failRead(): ClaimShardEvent {
         context.log.record("claims_unreadable", "shard" to name)
-        step(ClaimShardEvent.ReadFailed)
+        return ClaimShardEvent.ReadFailed
     }
 
     private fun toLoadedShard(stored: StoredObject<ClaimShardContent>?): LoadedShard? = when {
@@ -89,16 +102,16 @@
         )
     }
 
-    private suspend fun write(action: ClaimShardAction.Write) {
+    private suspend fun write(action: ClaimShardAction.Write): ClaimShardEvent {
         val content = ClaimShardContent(action.records)
         val result = if (action.expectedRevision > 0) {
             store.replace(ObjectKinds.CLAIMS, name, content, action.expectedRevision)
         } else {
             store.create(ObjectKinds.CLAIMS, name, content)
         }
-        result.fold(
-            success = { step(ClaimShardEvent.WriteDone(it.revision)) },
-            failure = { step(ClaimShardEvent.WriteNotConfirmed(conflict = it == StoreError.Conflict)) },
+        return result.fold(
+            success = { ClaimShardEvent.WriteDone(it.revision) },
+            failure = { ClaimShardEvent.WriteNotConfirmed(conflict = it == StoreError.Conflict) },
         )
     }
 
