Count a call of a rollout that ends by an exception as failed

The progress of a rollout would not have been recorded by this router until it was started again: a call to the store that ended by an exception left the driver waiting for it, as with the shards of claims.

RolloutDriverTest fails the first write and the first read: before, the driver recorded nothing within 5 s, now it does after its backoff. The tests of two drivers that record at once, and of a write that is delayed past a new order, passed on the code before, too.

--- a/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -13,6 +13,8 @@
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
+import kotlinx.coroutines.CoroutineName
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.time.Instant
 
@@ -63,8 +65,8 @@
         logChanges(before, event)
         next.actions.forEach { action ->
             when (action) {
-                is RolloutAction.Write -> context.scope.launch { write(action) }
-                RolloutAction.Read -> context.scope.launch { read() }
+                is RolloutAction.Write -> call(RolloutEvent.WriteNotConfirmed) { write(action) }
+                RolloutAction.Read -> call(RolloutEvent.ReadFailed) { read() }
                 RolloutAction.Announce -> announce(true)
             }
         }
@@ -77,7 +79,19 @@
         context.log.record("rollout_removed", "service" to progress.order.service, "target" to progress.order.target)
     }
 
-    private suspend fun write(action: RolloutAction.Write) {
+    /** Calls the store in the background; a call that fails unexpectedly ends with [failure], and is logged. */
+    private fun call(failure: RolloutEvent, storeCall: suspend () -> RolloutEvent) {
+        context.scope.launch(CoroutineName("call rollout")) {
+            var event = failure
+            try {
+                event = storeCall()
+            } finally {
+                if (isActive) step(event)
+            }
+        }
+    }
+
+    private suspend fun write(action: RolloutAction.Write): RolloutEvent {
         val value = action.order.copy(state = action.state, stateTarget = action.order.target)
         val result = store.replaceStatus(ObjectKinds.ROLLOUTS, name, value, action.expectedRevision)
         record(
@@ -87,14 +101,14 @@
             result.outcome()
         )
         val written = result.fold({ it }, { null })
-        step(written?.let { toWriteDone(it) } ?: RolloutEvent.WriteNotConfirmed)
+        return written?.let { toWriteDone(it) } ?: RolloutEvent.WriteNotConfirmed
     }
 
-    private suspend fun read() {
+    private suspend fun read(): RolloutEvent {
         val result = store.read(ObjectKinds.ROLLOUTS, name)
         record("rollout_read", result.outcome())
         val stored = result.fold({ it }, { null })
-        step(stored?.let { toWriteDone(it) } ?: RolloutEvent.ReadFailed)
+        return stored?.let { toWriteDone(it) } ?: RolloutEvent.ReadFailed
     }
 
     private fun toWriteDone(stored: StoredObject<Rollout>): RolloutEvent? =
