Accept the connections that wait before the listener closes

Callers whose connection the system had completed, and whose request it had received, got a reset when a busy router stopped: closing a listener resets the connections that the process has not accepted yet.

ConnectionCloseTest lets 100 clients connect and send while the event loop is busy, and stops accepting: before, none of them got an answer, now all do.

The listener closes after a round of the event loop in which nothing was accepted, at most 250 rounds of 1 ms. A connection that is completed in the last round is still reset.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -11,12 +11,17 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.time.InstantSource
 
 private const val ACCEPT_BACKLOG = 1_024
 
+/** Long enough for the event loop to accept connections once more. */
+private const val ACCEPT_ROUND_MILLISECONDS = 1L
+private const val MAX_ACCEPT_ROUNDS = 250
+
 /**
  * An HTTP/1.1 server whose connections and handlers all run on one event loop.
  *
@@ -45,6 +50,7 @@
         handler = handler,
     )
     private var listener: Channel? = null
+    private var acceptedCount = 0L
 
     constructor(
         loop: EventLoop,
@@ -75,8 +81,22 @@
         return Address(address.host, local.port)
     }
 
-    /** Closes the listener; open connections stay open. */
+    /**
+     * Closes the listener; open connections stay open. Connections that wait to be accepted are accepted first, since
+     * closing the listener would reset them.
+     */
     suspend fun stopAccepting() {
+        var rounds = 0
+        var before = -1L
+        while (listener?.isActive == true && acceptedCount != before && rounds < MAX_ACCEPT_ROUNDS) {
+            before = acceptedCount
+            rounds += 1
+            delay(ACCEPT_ROUND_MILLISECONDS)
+        }
+        closeListener()
+    }
+
+    private suspend fun closeListener() {
         listener?.close()?.awaitSuccess()
     }
 
@@ -89,7 +109,7 @@
 
     /** Closes the listener and all connections, aborting the requests in progress. */
     suspend fun stop() {
-        stopAccepting()
+        closeListener()
         openConnections().forEach { it.stop() }
         connections.close().awaitSuccess()
         scope.cancel()
@@ -97,6 +117,7 @@
 
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
+            acceptedCount += 1
             val limits = options()
             if (connections.size >= limits.maxConnections) {
                 onEvent(ServerEvent.ConnectionRefused(connections.size))
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -9,6 +9,7 @@
 
 private const val LARGE_BODY_BYTES = 8_000_000
 private const val SMALL_RECEIVE_BUFFER = 4_096
+private const val WAITING_CLIENTS = 100
 
 class ConnectionCloseTest {
     private suspend fun respond(request: IncomingRequest, writer: ResponseWriter) =
@@ -86,4 +87,18 @@
                 expectThat(client.awaitEnd()).isTrue()
             }
         }
+
+    /** A stop of a busy server reset connections whose requests it had not got to yet. */
+    @Test
+    fun `connections that wait to be accepted when the server stops accepting get their responses`() =
+        ServerFixture(handler = ::respond).run {
+            val clients = mutableListOf<RawClient>()
+            onLoop {
+                repeat(WAITING_CLIENTS) { clients += RawClient(address).apply { get("/$it") } }
+                server.closeAfterResponse = true
+                server.stopAccepting()
+            }
+            val bodies = clients.map { client -> client.use { runCatching { it.read()?.body }.getOrNull() } }
+            expectThat(bodies).isEqualTo(List(WAITING_CLIENTS) { "/$it" })
+        }
 }
