Spare connections that have only just been opened when a router stops

A caller whose connection was accepted a moment before its first request arrived found it closed without an answer: a stopping router closes the connections without a request each 20 ms.

ConnectionCloseTest opens a connection, closes the idle ones, and sends its request 50 ms later: before, it got no response.

A connection that has carried nothing yet is closed no earlier than half a second after it was opened. The idle timeout is not affected.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -100,7 +100,7 @@
         listener?.close()?.awaitSuccess()
     }
 
-    /** Closes the connections that have no request in progress. */
+    /** Closes the connections that have no request in progress, unless they have only just been opened. */
     fun closeIdle() {
         openConnections().forEach { it.closeIfIdle() }
     }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpObject
 
+private const val FIRST_REQUEST_MILLISECONDS = 500L
+
 /** The other handlers in the pipeline of a [ServerConnection] that it uses. */
 internal class PipelineHandlers(val gate: WriteGate, val timer: ReceiveTimer)
 
@@ -14,6 +16,12 @@
     private val aggregator =
         RequestAggregator({ environment.options().maxBodyBytes }, environment.memory, pipeline.timer)
     private lateinit var requests: RequestQueue
+    private val openedAt = environment.clock.instant()
+    private var used = false
+
+    /** True while the first request may still be on its way. */
+    private val justOpened: Boolean
+        get() = !used && environment.clock.instant() < openedAt.plusMillis(FIRST_REQUEST_MILLISECONDS)
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, pipeline) {
@@ -22,6 +30,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+        used = true
         if (!requests.accepting) {
             return
         }
@@ -36,8 +45,12 @@
         }
     }
 
-    /** Closes the connection unless a request is being received or handled. */
+    /** Closes the connection unless a request is being received or handled, or the first one is about to come. */
     fun closeIfIdle() {
+        if (!justOpened) closeUnlessReceiving()
+    }
+
+    private fun closeUnlessReceiving() {
         if (!pipeline.timer.receiving) requests.closeIfEmpty()
     }
 
@@ -46,7 +59,7 @@
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
-            ReceiveTimeout.IDLE -> closeIfIdle()
+            ReceiveTimeout.IDLE -> closeUnlessReceiving()
             ReceiveTimeout.REQUEST -> if (requests.accepting) {
                 aggregator.discard()
                 requests.reject(HttpRejection.TOO_SLOW)
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -101,4 +101,29 @@
             val bodies = clients.map { client -> client.use { runCatching { it.read()?.body }.getOrNull() } }
             expectThat(bodies).isEqualTo(List(WAITING_CLIENTS) { "/$it" })
         }
+
+    /** The platform opens a connection, and its first request follows a moment later. */
+    @Test
+    fun `closing idle connections spares one that has only just been opened`() =
+        ServerFixture(handler = ::respond).run {
+            RawClient(address).use { client ->
+                eventually("the connection is open") { onLoop { server.connectionCount } == 1 }
+                onLoop { server.closeIdle() }
+                Thread.sleep(50)
+                client.get("/1")
+                expectThat(client.read()?.body).isEqualTo("/1")
+            }
+        }
+
+    @Test
+    fun `closing idle connections closes one on which no request comes`() = ServerFixture(handler = ::respond).run {
+        RawClient(address).use { client ->
+            eventually("the connection is open") { onLoop { server.connectionCount } == 1 }
+            eventually("the connection is closed") {
+                onLoop { server.closeIdle() }
+                onLoop { server.connectionCount } == 0
+            }
+            expectThat(client.awaitEnd()).isTrue()
+        }
+    }
 }
