Answer 502 where a server refuses without saying that it has not run

Callers of bookings were told "not run, try again" for what had run: a server's own 503, 429 or 408 was passed on unchanged. On the platform these statuses promise that the request has not run and never will, and only X-Not-Executed (or 421) states it; after any other response a request that was sent may have run.

Such a response counts as an unknown outcome (UNMARKED_REFUSAL) where the request may not be repeated. Elsewhere it is passed on as before.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -43,6 +43,9 @@
     /** A refusal without the request's ID, which may be a copy of an earlier one, arrived on a kept connection. */
     UNIDENTIFIED_REFUSAL,
 
+    /** A status that tells callers "not run" arrived without the endpoint's statement that it has not run. */
+    UNMARKED_REFUSAL,
+
     /** The body was longer than allowed. */
     BODY_TOO_LONG,
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/AttemptOutcomeTextTest.kt
@@ -37,6 +37,7 @@
             "Unknown(reason=TOO_MANY_INTERIM_RESPONSES)",
             "Unknown(reason=TOO_MUCH_FOREIGN)",
             "Unknown(reason=UNIDENTIFIED_REFUSAL)",
+            "Unknown(reason=UNMARKED_REFUSAL)",
             "Unknown(reason=BODY_TOO_LONG)",
             "Unknown(reason=OUT_OF_MEMORY)",
             "Unknown(reason=EVENT_TOO_LONG)",
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -3,6 +3,7 @@
 import comfreypath.coordination.evidence.PartAdmission
 import comfreypath.coordination.overload.Admission
 import comfreypath.coordination.overload.RefusalReason
+import comfreypath.coordination.routing.Route
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.RetryAfterPolicy
 import comfreypath.coordination.verdict.RetryDecision
@@ -221,12 +222,14 @@
         val sent = dependencies.sender.send(request, plan, limits, activity)
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
-            is SendResult.Responding -> if (sent.head.genuine) {
-                readResponse(selection, sent)
-            } else {
-                // A faulty server may send bytes that look like a success.
-                sent.exchange.close()
-                CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.MALFORMED))
+            is SendResult.Responding -> {
+                val reason = sent.head.unusableReason(route)
+                if (reason == null) {
+                    readResponse(selection, sent)
+                } else {
+                    sent.exchange.close()
+                    CompletedAttempt(AttemptOutcome.Unknown(reason))
+                }
             }
         }
     }
@@ -265,6 +268,14 @@
     }
 }
 
+/** Why a response on [route] must not reach the caller; null if it may. */
+private fun EndpointResponseHead.unusableReason(route: Route): UnknownReason? = when {
+    // A faulty server may send bytes that look like a success.
+    !genuine -> UnknownReason.MALFORMED
+    unmarkedRefusal && !route.repeatable -> UnknownReason.UNMARKED_REFUSAL
+    else -> null
+}
+
 /** The refusals of requests that no endpoint has answered. */
 internal object RelayRefusals {
     /** The refusal of a request that may have run. */
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -43,6 +43,7 @@
  * @property genuine false for a success that lacks the signature which endpoints add to every success
  * @property requestId the request that the response belongs to; null if not reported
  * @property notRun true when the endpoint has not run the request and never will
+ * @property unmarkedRefusal true for a status that tells callers "not run" without [notRun]
  * @property wrongEndpoint true when another endpoint than the requested one uses the address now
  * @property endpoint the endpoint that responded; null if not reported
  * @property load the load of the endpoint; null if not reported
@@ -67,6 +68,7 @@
     val leaving: Boolean = false,
     val pause: Duration? = null,
     val unreadablePause: String? = null,
+    val unmarkedRefusal: Boolean = false,
 )
 
 /** The load that an endpoint reports: requests running, requests waiting, and how many it can run at once. */
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -21,6 +21,7 @@
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
         UnknownReason.SLOW, UnknownReason.OUT_OF_MEMORY -> null
         UnknownReason.UNIDENTIFIED_REFUSAL -> HealthEvidence.FULL
+        UnknownReason.UNMARKED_REFUSAL -> HealthEvidence.FAILED
         UnknownReason.FRAMING_TOO_LONG,
         UnknownReason.TOO_MANY_INTERIM_RESPONSES,
         UnknownReason.TOO_MUCH_FOREIGN,
