--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -13,8 +13,13 @@
  * A router in a process of its own, with the memory that `deploy/system.toml` gives it.
  *
  * @param store the address of the object store
+ * @param settings further settings, by name
  */
-internal class RouterProcess(store: Address, name: String = "router-process") : Closeable {
+internal class RouterProcess(
+    store: Address,
+    name: String = "router-process",
+    settings: Map<String, String> = emptyMap(),
+) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
 
@@ -31,7 +36,7 @@
                 "peer-listen" to freeAddress(),
                 "metrics-listen" to freeAddress(),
                 "object-store" to store,
-            ).flatMap { (setting, value) -> listOf("--$setting", "$value") },
+            ).plus(settings).flatMap { (setting, value) -> listOf("--$setting", "$value") },
     ).redirectErrorStream(true).redirectOutput(output).start()
 
     /** True while the process runs. */
@@ -43,6 +48,17 @@
     /** Sends SIGTERM. */
     fun terminate() = process.destroy()
 
+    /** Sends SIGSTOP, so that the process does nothing until it is resumed. */
+    fun pause() = signal("STOP")
+
+    /** Sends SIGCONT. */
+    fun resume() = signal("CONT")
+
+    private fun signal(name: String) {
+        val exit = ProcessBuilder("kill", "-$name", "${process.pid()}").inheritIO().start().waitFor()
+        check(exit == 0) { "SIG$name was not sent" }
+    }
+
     override fun close() {
         process.destroyForcibly().waitFor(EXIT_SECONDS, TimeUnit.SECONDS)
         output.delete()
