Tell clients to continue only when the responses before are complete

A client that pipelines a request with "Expect: 100-continue" got the interim response before the response to its earlier request, or, once that had begun, none at all: it waited, and was refused with 408.

The interim response was written as soon as the head was read. Within another response the encoder rejects it, and the failure was ignored.

The interim response now waits until the queue of the connection is empty; the timeout of the body starts with it.

--- a/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ReceiveTimer.kt
@@ -49,7 +49,14 @@
     /** Restarts the receive timeout after a part of a request. */
     fun partReceived(context: ChannelHandlerContext) {
         receiving = true
-        arm(context, options().receiveTimeout) { fire(context, ReceiveTimeout.REQUEST) }
+        arm(context, options().receiveTimeout) {
+            context.pipeline().fireUserEventTriggered(ReceiveTimeout.REQUEST)
+        }
+    }
+
+    /** Stops the timeout of a request whose client has been told to wait. */
+    fun hold() {
+        timeout?.cancel(false)
     }
 
     /** Stops the timeout after a complete request, while the request is handled. */
@@ -69,14 +76,10 @@
         if (rest > Duration.ZERO) {
             arm(context, rest) { armIdle(context, idleSince) }
         } else {
-            fire(context, ReceiveTimeout.IDLE)
+            context.pipeline().fireUserEventTriggered(ReceiveTimeout.IDLE)
         }
     }
 
-    private fun fire(context: ChannelHandlerContext, event: ReceiveTimeout) {
-        context.pipeline().fireUserEventTriggered(event)
-    }
-
     private fun arm(context: ChannelHandlerContext, after: Duration, action: () -> Unit) {
         timeout?.cancel(false)
         timeout = context.executor().schedule(action, after.toNanos(), TimeUnit.NANOSECONDS)
--- a/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
@@ -24,12 +24,19 @@
     class Rejected(val rejection: HttpRejection) : Aggregation
 }
 
-/** Assembles the requests on one connection from their parts. Between two requests it holds no body. */
+/**
+ * Assembles the requests on one connection from their parts. Between two requests it holds no body.
+ *
+ * A client that waits for an interim response before it sends a body is told to continue once [mayContinue] is true or
+ * [proceed] is called; within another response, the interim one would be taken for a part of it.
+ */
 internal class RequestAggregator(
     private val maxBodyBytes: () -> Int,
     private val memory: BodyMemory,
     private val timer: ReceiveTimer,
+    private val mayContinue: () -> Boolean,
 ) {
+    private var continueAwaited = false
     private var partial: PartialRequest? = null
 
     private class PartialRequest(val head: HttpRequest, val body: BodyBuffer, val memory: ExchangeMemory)
@@ -52,12 +59,23 @@
         partial = PartialRequest(request, BodyBuffer(maxBodyBytes(), accounts.request), accounts)
         timer.partReceived(context)
         if (HttpUtil.is100ContinueExpected(request)) {
+            continueAwaited = true
+            if (mayContinue()) proceed(context) else timer.hold()
+        }
+    }
+
+    /** Tells a client that waits for it to send the body of its request. */
+    fun proceed(context: ChannelHandlerContext) {
+        if (continueAwaited) {
+            continueAwaited = false
+            timer.partReceived(context)
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
     }
 
     private fun append(context: ChannelHandlerContext, content: HttpContent): Aggregation {
         val request = partial ?: return Aggregation.Incomplete
+        continueAwaited = false
         val bytes = ByteArray(content.content().readableBytes())
         content.content().readBytes(bytes)
         return when (request.body.add(bytes)) {
@@ -69,6 +87,7 @@
 
     /** Drops a request that is not complete. */
     fun discard() {
+        continueAwaited = false
         partial?.memory?.close()
         partial = null
     }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -38,6 +38,9 @@
     /** False once the connection will close, so that no further request is accepted. */
     val accepting: Boolean get() = !closer.closing && rejected == null
 
+    /** True while no request is handled or pending, and no response is being sent. */
+    val empty: Boolean get() = !responding && pending.isEmpty()
+
     private val hasNext: Boolean get() = pending.isNotEmpty() || rejected != null
 
     /** True while a request is handled or its response is being sent. */
@@ -122,7 +125,7 @@
 
     /** Closes the connection if it has no request. */
     fun closeIfEmpty() {
-        if (!responding && pending.isEmpty()) {
+        if (empty) {
             closer.closeAfterWrites()
         }
     }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -14,7 +14,7 @@
     private val pipeline: PipelineHandlers,
 ) : MessageHandler<HttpObject>() {
     private val aggregator =
-        RequestAggregator({ environment.options().maxBodyBytes }, environment.memory, pipeline.timer)
+        RequestAggregator({ environment.options().maxBodyBytes }, environment.memory, pipeline.timer) { requests.empty }
     private lateinit var requests: RequestQueue
     private val openedAt = environment.clock.instant()
     private var used = false
@@ -26,6 +26,7 @@
     override fun handlerAdded(context: ChannelHandlerContext) {
         requests = RequestQueue(context, environment, pipeline) {
             if (environment.mayKeepAlive()) pipeline.timer.awaitRequest(context) else closeIfIdle()
+            aggregator.proceed(context)
         }
     }
 
--- a/transport/src/test/kotlin/comfreypath/transport/RawClient.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/RawClient.kt
@@ -31,13 +31,15 @@
 
     fun get(path: String, headers: String = "") = send("GET $path HTTP/1.1\r\nHost: a\r\n$headers\r\n")
 
-    /** Reads the next response; null if the connection ended before it began. */
-    fun read(): RawResponse? {
+    /** Reads the next response, up to its head unless it [hasBody]; null if the connection ended before it began. */
+    fun read(hasBody: Boolean = true): RawResponse? {
         val statusLine = line()?.takeIf { it.isNotEmpty() } ?: return null
         val headers = generateSequence { line()?.takeIf { it.isNotEmpty() } }
             .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
         val body = StringBuilder()
-        val complete = if (headers["transfer-encoding"] == "chunked") {
+        val complete = if (!hasBody) {
+            true
+        } else if (headers["transfer-encoding"] == "chunked") {
             readChunks(body)
         } else {
             readBytes(headers["content-length"]?.toInt() ?: 0, body)
