Keep watching the settings file after a reload that fails unexpectedly

Changes of the settings file were no longer noticed after a reload that ended by an exception, without a line in the log.

The exception ended the coroutine that polls the file. SettingsReloaderTest lets the first reload throw: before, no rejection was reported within 5 s and the next change was not applied; now it is rejected with its reason. Errors of the JVM still end the watch and reach the default handler.

--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/SettingsReloader.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/SettingsReloader.kt
@@ -55,7 +55,12 @@
 
     private fun reload(cause: String) {
         lastContent = readContent()
-        read().fold(success = { handler.apply(it, cause) }, failure = { handler.reject(it, cause) })
+        runCatching {
+            read().fold(success = { handler.apply(it, cause) }, failure = { handler.reject(it, cause) })
+        }.onFailure { failure ->
+            if (failure is Error) throw failure
+            handler.reject("the reload failed: $failure", cause)
+        }
     }
 
     /** Returns the content of the file; null if it can't be read, which [read] reports. */
--- a/daemon/src/test/kotlin/comfreypath/daemon/SettingsReloaderTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/SettingsReloaderTest.kt
@@ -90,6 +90,28 @@
         scope.cancel()
     }
 
+    /** The watch ended with the first reload that failed unexpectedly, and later changes were not noticed. */
+    @Test
+    fun `a reload that fails unexpectedly does not end the watch of the file`(@TempDir folder: Path) {
+        val file = Files.writeString(folder.resolve("router.properties"), requiredSettings)
+        val reloads = RecordedReloads()
+        var reads = 0
+        val readOnceInVain = {
+            reads += 1
+            check(reads > 1) { "the settings can't be read" }
+            read(file)
+        }
+        val reloader = SettingsReloader(file.toFile(), readOnceInVain, reloads.handler, Duration.ofMillis(10))
+        val scope = CoroutineScope(Dispatchers.Default)
+        scope.launch { reloader.watchFile() }
+        Files.writeString(file, "$requiredSettings\ngrace=3s\n")
+        await("a rejection") { reloads.rejected.isNotEmpty() }
+        expectThat(reloads.rejected.first()).contains("the settings can't be read")
+        Files.writeString(file, "$requiredSettings\ngrace=4s\n")
+        await("a reload") { reloads.applied.any { (options, _) -> options.timeouts.grace == Duration.ofSeconds(4) } }
+        scope.cancel()
+    }
+
     @Test
     fun `a router applies reloaded bounds and keeps serving when another setting needs a restart`() =
         PlatformFixture().run {
