End the responses to HEAD requests with their heads

A caller that sent HEAD got a body behind the head of a refusal, and took it for the beginning of the next response on the connection.

The encoder of a server does not know the method of the request, so each response had its body.

The encoder is told the method before each response, and leaves out the body; Content-Length still tells its length. A rejection of bytes that are no request is written as before, since the connection closes. RawClient now checks that a response begins with a status line: without that, the test of a failing handler would have passed before, too.

--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -126,14 +125,15 @@
             }
             connections.add(channel)
             val gate = WriteGate()
+            val encoder = ResponseEncoder()
             val decoder = StrictRequestDecoder(limits.maxHeaderBytes)
             val timer = ReceiveTimer(options, environment.clock) { decoder.partial }
             channel.pipeline()
                 .addLast(timer)
                 .addLast(decoder)
-                .addLast(HttpResponseEncoder())
+                .addLast(encoder)
                 .addLast(gate)
-                .addLast(ServerConnection(environment, PipelineHandlers(gate, timer)))
+                .addLast(ServerConnection(environment, PipelineHandlers(gate, timer, encoder)))
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -80,6 +80,7 @@
         val writer = ConnectionWriter(context, pipeline.gate, Observer(exchange)) {
             exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
+        pipeline.encoder.beginResponse(exchange.request.method)
         val onFailure = CoroutineExceptionHandler { _, failure ->
             val clientLeft = failure is IOException && !context.channel().isActive
             if (!clientLeft) environment.onEvent(ServerEvent.HandlerFailed(exchange.request, failure))
@@ -116,6 +117,7 @@
 
     private fun respond(rejected: Rejected, keepAlive: Boolean = false) {
         val rejection = rejected.rejection
+        pipeline.encoder.beginResponse(rejected.exchange?.request?.method)
         val response = rejection.response(environment.options().rejectionBody(rejection), keepAlive)
         context.writeAndFlush(response).addListener { write ->
             if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -6,7 +6,7 @@
 private const val FIRST_REQUEST_MILLISECONDS = 500L
 
 /** The other handlers in the pipeline of a [ServerConnection] that it uses. */
-internal class PipelineHandlers(val gate: WriteGate, val timer: ReceiveTimer)
+internal class PipelineHandlers(val gate: WriteGate, val timer: ReceiveTimer, val encoder: ResponseEncoder)
 
 /** One server connection: assembles requests and adds them to its [RequestQueue]. */
 internal class ServerConnection(
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
@@ -85,7 +85,7 @@
             },
         )
         val timer = ReceiveTimer(environment.options, environment.clock) { false }
-        val connection = ServerConnection(environment, PipelineHandlers(WriteGate(), timer))
+        val connection = ServerConnection(environment, PipelineHandlers(WriteGate(), timer, ResponseEncoder()))
         val channel = EmbeddedChannel(FailingWrites(), connection)
         channel.writeInbound(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
         expectThat(channel.isOpen).isFalse()
--- a/transport/src/test/kotlin/comfreypath/transport/RawClient.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/RawClient.kt
@@ -34,6 +34,7 @@
     /** Reads the next response, up to its head unless it [hasBody]; null if the connection ended before it began. */
     fun read(hasBody: Boolean = true): RawResponse? {
         val statusLine = line()?.takeIf { it.isNotEmpty() } ?: return null
+        check(statusLine.startsWith("HTTP/1.1 ")) { "no status line: $statusLine" }
         val headers = generateSequence { line()?.takeIf { it.isNotEmpty() } }
             .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
         val body = StringBuilder()
