Serve no request before evacuations and rollouts are known

A router that starts could send requests to a data centre that is evacuated, or to a version that was rolled back: it was ready as soon as it knew the configuration and the endpoints, which it reads first.

The router is ready, and passes requests on, only once it has read both, from the store or from a peer. Until then callers get 503 (not_ready). EndpointSelector's other orders, such as draining, come with the endpoints themselves.

--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -24,6 +24,7 @@
 import comfreypath.router.request.ResponseStage
 import comfreypath.router.request.RouteFilter
 import comfreypath.router.request.StalenessLimits
+import comfreypath.router.request.StartFilter
 import comfreypath.router.request.pipeline
 import comfreypath.router.rollout.VersionRollouts
 import comfreypath.router.sending.EndpointSender
@@ -141,6 +142,7 @@
     private fun stages() = pipeline(
         listOf(
             BodyErrorFilter(view.configuration, ::refuse)::filter,
+            StartFilter(view, ::refuse)::filter,
             RouteFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
             ApiKeyFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
             drainFilter::filter,
@@ -234,7 +236,8 @@
 
     /** True while the platform may send callers to this router. */
     val ready: Boolean
-        get() = !stopping && view.configuration.current != null && view.endpoints.entries.confirmedAt != null
+        get() = !stopping && view.configuration.current != null && view.endpoints.entries.confirmedAt != null &&
+            view.ordersKnown
 
     private companion object {
         val DRAIN_NOTICE: Duration = Duration.ofMillis(DRAIN_NOTICE_MILLISECONDS)
--- a/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AdmissionFilters.kt
@@ -6,6 +6,7 @@
 import comfreypath.coordination.routing.Team
 import comfreypath.router.RouterContext
 import comfreypath.router.ServiceBounds
+import comfreypath.router.view.ClusterView
 import comfreypath.router.view.ConfigurationProbe
 import comfreypath.router.view.ConfigurationView
 import java.time.Duration
@@ -48,6 +49,17 @@
     }
 }
 
+/** Refuses requests until the orders are known that take endpoints or versions out of use. */
+class StartFilter(
+    private val view: ClusterView,
+    private val refuse: suspend (CallerExchange, Refusal) -> Unit,
+) {
+    /** Passes on all requests once the orders are known. */
+    suspend fun filter(exchange: CallerExchange, next: Stage) {
+        if (view.ordersKnown) next(exchange) else refuse(exchange, notReady("the router is starting"))
+    }
+}
+
 /** Finds a request's route. The route counts as unknown only while the configuration is known to be fresh. */
 class RouteFilter(
     private val view: ConfigurationView,
--- a/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
@@ -24,6 +24,9 @@
     /** The registered routers, by instance name. */
     val routers = KindView<RouterRecord>(context, "router")
 
+    /** True once the orders of operators that take endpoints or versions out of use are known. */
+    val ordersKnown: Boolean get() = evacuations.confirmedAt != null && rollouts.confirmedAt != null
+
     /** The digest of each followed kind that has been listed, by the kind's code. */
     fun digests(): Map<String, KindDigest> = listOf(
         ObjectKinds.ENDPOINTS to endpoints.entries,
--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -75,11 +75,11 @@
     }
 
     private suspend fun handleCall(parts: List<String>, request: IncomingRequest, writer: ResponseWriter) {
-        if (faults.outage) {
+        val kind = parts.first()
+        if (faults.outage || faults.silentKind == kind) {
             awaitCancellation()
         }
         delay(faults.latencyMilliseconds)
-        val kind = parts.first()
         val sinceRevision = request.queryParameter(StoreWire.WATCH_REVISION)?.toLongOrNull()
         when {
             faults.refuse -> writer.respondStatus(HttpResponseStatus.SERVICE_UNAVAILABLE)
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
@@ -7,6 +7,7 @@
  *
  * @property latencyMilliseconds the delay before a call is handled
  * @property outage sends no response to any call, and keeps the connections open
+ * @property silentKind sends no response to calls about objects of this kind; null for none
  * @property refuse responds to every call with status 503
  * @property loseAnswersPercent the percentage of writes that take effect but get no response
  * @property silentWatches keeps watches open without sending any change
@@ -16,6 +17,7 @@
 data class StoreFaults(
     val latencyMilliseconds: Long = 2,
     val outage: Boolean = false,
+    val silentKind: String? = null,
     val refuse: Boolean = false,
     val loseAnswersPercent: Int = 0,
     val silentWatches: Boolean = false,
--- a/stand-ins/src/test/kotlin/comfreypath/standins/FaultsWireFormatTest.kt
+++ b/stand-ins/src/test/kotlin/comfreypath/standins/FaultsWireFormatTest.kt
@@ -17,8 +17,8 @@
 
     @Test
     fun `faults are read and written under these names`() {
-        val store = """{"latencyMilliseconds":7,"outage":true,"refuse":true,"loseAnswersPercent":8,""" +
-            """"silentWatches":true,"forgetHistory":true}"""
+        val store = """{"latencyMilliseconds":7,"outage":true,"silentKind":"servers","refuse":true,""" +
+            """"loseAnswersPercent":8,"silentWatches":true,"forgetHistory":true}"""
         val engine = """{"slowFactor":3,"failing":true,"silent":true,"cutAfterPieces":4,"repeatPieces":true,""" +
             """"crossPieces":true,"restart":true}"""
         val service = """{"latencyMilliseconds":7,"refuse":true,"cutAfterRun":true,"silentAfterRun":true}"""
@@ -30,8 +30,8 @@
     @Test
     fun `faults that are not given have these values`() {
         expectThat(defaults<StoreFaults>()).isEqualTo(
-            """{"latencyMilliseconds":2,"outage":false,"refuse":false,"loseAnswersPercent":0,""" +
-                """"silentWatches":false,"forgetHistory":false}""",
+            """{"latencyMilliseconds":2,"outage":false,"silentKind":null,"refuse":false,""" +
+                """"loseAnswersPercent":0,"silentWatches":false,"forgetHistory":false}""",
         )
         expectThat(defaults<EngineFaults>()).isEqualTo(
             """{"slowFactor":1,"failing":false,"silent":false,"cutAfterPieces":0,"repeatPieces":false,""" +
