--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -20,6 +20,7 @@
 import comfreypath.router.WireFormats
 import comfreypath.transport.dispatcher
 import comfreypath.transport.eventLoops
+import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
@@ -34,8 +35,8 @@
 
 private const val EXIT_FATAL = 3
 
-/** Runs one router until SIGTERM, then stops it gracefully. */
-class RouterCommand {
+/** Runs one router on the event loop that [createLoop] returns until SIGTERM, then stops it gracefully. */
+class RouterCommand(private val createLoop: () -> EventLoop = { eventLoops("router", 1).next() }) {
     /** Returns the exit status: 0 after a graceful stop, 1 if the start fails, [EXIT_USAGE] if a setting is invalid. */
     fun run(arguments: List<String>, environment: Map<String, String>): Int {
         if ("--help" in arguments) {
@@ -88,7 +89,7 @@
         file: File?,
         readOptions: () -> Result<RouterOptions, String>,
     ): Int {
-        val loop = eventLoops("router", 1).next()
+        val loop = createLoop()
         val router = Router(options, loop, formats(options, callerInterface), ::PlatformStore)
         val reloader = SettingsReloader(file, readOptions, ReloadHandler(router::reload, router::rejectReload))
         val stopLatch = CountDownLatch(1)
--- a/daemon/src/test/kotlin/comfreypath/daemon/EarlyStopTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/EarlyStopTest.kt
@@ -4,6 +4,8 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.Socket
@@ -13,13 +15,15 @@
     /** A router serves its first callers while it still starts, and SIGTERM ended the process at once then. */
     @Test
     fun `a caller of a router that is stopped while it starts gets an answer`() = PlatformFixture().run {
-        RouterProcess(fleet.storeAddress).use { process ->
+        heldStart().use { process ->
             connect(process).use { caller ->
                 process.terminate()
+                expectThat(STARTED in process.log).isFalse()
                 expectThat(statusLine(caller)).startsWith("HTTP/1.1 ")
             }
             eventually("the process stops") { !process.alive }
-            expectThat(process.log).contains("\"stopping\"")
+            val events = process.log.lines().filter { line -> EVENTS.any { it in line } }
+            expectThat(events.map { line -> EVENTS.first { it in line } }).isEqualTo(EVENTS)
         }
     }
 
@@ -34,6 +38,17 @@
         }
     }
 
+    /** Starts processes until one is held within its start, while it listens already. */
+    private suspend fun PlatformFixture.heldStart(): RouterProcess {
+        repeat(MAX_STARTS) {
+            val process = RouterProcess(fleet.storeAddress, mainClass = HeldStart::class.java.name)
+            eventually("the start is held or has ended") { HeldStart.HELD in process.log || STARTED in process.log }
+            if (STARTED !in process.log) return process
+            process.close()
+        }
+        error("no process was held within its start")
+    }
+
     /** Connects as soon as [process] listens. */
     private fun connect(process: RouterProcess): Socket {
         val deadline = System.nanoTime() + START_TIMEOUT.toNanos()
@@ -69,6 +84,11 @@
 
     private companion object {
         const val STATUS_LINE_BYTES = 12
+        const val MAX_STARTS = 10
+        const val STARTED = "\"event\":\"started\""
+
+        /** What is logged about a stop within the start, in order. */
+        val EVENTS = listOf(HeldStart.HELD, STARTED, "\"event\":\"stopping\"", "\"event\":\"stopped\"")
         val START_TIMEOUT: Duration = Duration.ofSeconds(20)
         val RESPONSE_TIMEOUT: Duration = Duration.ofSeconds(10)
     }
--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -14,11 +14,13 @@
  *
  * @param store the address of the object store
  * @param settings further settings, by name
+ * @param mainClass the class that runs the router
  */
 internal class RouterProcess(
     store: Address,
     name: String = "router-process",
     settings: Map<String, String> = emptyMap(),
+    mainClass: String = "comfreypath.daemon.MainKt",
 ) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
@@ -26,7 +28,7 @@
     private val output: File = Files.createTempFile("router-process", ".log").toFile()
     private val process: Process = ProcessBuilder(
         listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags +
-            listOf("-cp", System.getProperty("java.class.path"), "comfreypath.daemon.MainKt", "router") +
+            listOf("-cp", System.getProperty("java.class.path"), mainClass, "router") +
             mapOf(
                 "name" to name,
                 "data-centre" to "south-a",
@@ -42,6 +44,9 @@
     /** True while the process runs. */
     val alive: Boolean get() = process.isAlive
 
+    /** The exit status; null while the process runs. */
+    val exitStatus: Int? get() = if (process.isAlive) null else process.exitValue()
+
     /** What the process has written. */
     val log: String get() = output.readText()
 
