Test a request behind a stream that outlasts the grace period

GracefulStopTest: the request does not run, its connection ends with the stream, which has no clean end, and both count as server_stopped. HTTP has no way to answer it before the stream.

--- a/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/GracefulStopTest.kt
@@ -12,9 +12,11 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.doesNotContain
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
 import java.net.Socket
 import java.time.Duration
@@ -75,6 +77,51 @@
         expectThat(fixture.fleet.violations.toList()).isEmpty()
     }
 
+    /** HTTP has no way to answer it before the stream ends; what counts is that it does not run. */
+    @Test
+    fun `a request behind a stream that outlasts the grace period does not run, and no stream ends cleanly`() {
+        val fixture = PlatformFixture { it.copy(timeouts = it.timeouts.copy(grace = Duration.ofMillis(3_000))) }
+        runBlocking {
+            fixture.fleet.start()
+            try {
+                fixture.setEngineFaults(PlatformServerFaults(pauseAfterEvents = 3, pauseMilliseconds = 9_000))
+                fixture.stopBesideStream()
+            } finally {
+                fixture.fleet.stop()
+            }
+        }
+        expectThat(fixture.fleet.violations.map { it.invariant }).all { isEqualTo(Invariant.GRACEFUL_STOP) }
+    }
+
+    private suspend fun PlatformFixture.stopBesideStream() {
+        val running = fleet.routers.single()
+        val address = running.options.callerAddress
+        Socket(address.host, address.port).use { caller ->
+            caller.send(stream("s1") + booking("b1"))
+            eventually("the stream has reached a server") { requestsSeen("s1").isNotEmpty() }
+            fleet.stopRouter(running)
+            val responses = caller.receive(Int.MAX_VALUE).decodeToString()
+            expectThat(Regex("HTTP/1.1 ([0-9]{3})").findAll(responses).toList().size).isEqualTo(1)
+            expectThat(responses).contains("s1 piece 3")
+            expectThat("\r\n0\r\n" in responses).isFalse()
+        }
+        expectThat(requestsSeen("b1")).isEmpty()
+        expectThat(running.router.routerMetrics.prometheusText().decodeToString())
+            .contains("comfreypath_requests_unanswered_total{reason=\"server_stopped\"} 2.0")
+    }
+
+    private fun stream(id: String): String {
+        val headers = listOf(
+            "Host: ${PlatformFleet.HOST}",
+            "Authorization: Token ${PlatformFleet.KEY}",
+            "X-Attempt-Id: $id",
+            "X-Deadline-Ms: 12000",
+            "X-Model: m",
+            "X-Token-Usage: 1612,70",
+        )
+        return "GET /draft/x HTTP/1.1\r\n" + headers.joinToString("\r\n") + "\r\n\r\n"
+    }
+
     private suspend fun PlatformFixture.stopBesideBookings(raw: RawEndpoint) {
         usePlainServer(raw)
         val router = fleet.routers.single()
