--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -43,6 +43,9 @@
     /** A refusal without the request's ID, which may be a copy of an earlier one, arrived on a kept connection. */
     UNIDENTIFIED_REFUSAL,
 
+    /** A status that tells callers "not run" arrived without the endpoint's statement that it has not run. */
+    UNMARKED_REFUSAL,
+
     /** The body was longer than allowed. */
     BODY_TOO_LONG,
 
@@ -55,6 +58,9 @@
     /** The response was ended within an event of a stream. */
     TRUNCATED,
 
+    /** The response does not continue the stream that has begun. */
+    NO_CONTINUATION,
+
     /** The endpoint sent nothing at all for a while, and the request left it for another one. */
     STALLED,
 
--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -13,15 +13,22 @@
  * A router in a process of its own, with the memory that `deploy/system.toml` gives it.
  *
  * @param store the address of the object store
+ * @param settings further settings, by name
+ * @param mainClass the class that runs the router
  */
-internal class RouterProcess(store: Address, name: String = "router-process") : Closeable {
+internal class RouterProcess(
+    store: Address,
+    name: String = "router-process",
+    settings: Map<String, String> = emptyMap(),
+    mainClass: String = "comfreypath.daemon.MainKt",
+) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
 
     private val output: File = Files.createTempFile("router-process", ".log").toFile()
     private val process: Process = ProcessBuilder(
         listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags +
-            listOf("-cp", System.getProperty("java.class.path"), "comfreypath.daemon.MainKt", "router") +
+            listOf("-cp", System.getProperty("java.class.path"), mainClass, "router") +
             mapOf(
                 "name" to name,
                 "data-centre" to "south-a",
@@ -31,18 +38,32 @@
                 "peer-listen" to freeAddress(),
                 "metrics-listen" to freeAddress(),
                 "object-store" to store,
-            ).flatMap { (setting, value) -> listOf("--$setting", "$value") },
+            ).plus(settings).flatMap { (setting, value) -> listOf("--$setting", "$value") },
     ).redirectErrorStream(true).redirectOutput(output).start()
 
     /** True while the process runs. */
     val alive: Boolean get() = process.isAlive
 
+    /** The exit status; null while the process runs. */
+    val exitStatus: Int? get() = if (process.isAlive) null else process.exitValue()
+
     /** What the process has written. */
     val log: String get() = output.readText()
 
     /** Sends SIGTERM. */
     fun terminate() = process.destroy()
 
+    /** Sends SIGSTOP, so that the process does nothing until it is resumed. */
+    fun pause() = signal("STOP")
+
+    /** Sends SIGCONT. */
+    fun resume() = signal("CONT")
+
+    private fun signal(name: String) {
+        val exit = ProcessBuilder("kill", "-$name", "${process.pid()}").inheritIO().start().waitFor()
+        check(exit == 0) { "SIG$name was not sent" }
+    }
+
     override fun close() {
         process.destroyForcibly().waitFor(EXIT_SECONDS, TimeUnit.SECONDS)
         output.delete()
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -3,6 +3,7 @@
 import comfreypath.coordination.evidence.PartAdmission
 import comfreypath.coordination.overload.Admission
 import comfreypath.coordination.overload.RefusalReason
+import comfreypath.coordination.routing.Route
 import comfreypath.coordination.verdict.AttemptOutcome
 import comfreypath.coordination.verdict.RetryAfterPolicy
 import comfreypath.coordination.verdict.RetryDecision
@@ -33,7 +34,7 @@
 /**
  * The collaborators that the attempts of all requests share.
  *
- * @property belongsTo whether an event of a stream belongs to a request
+ * @property streams the format of the endpoints' streams
  */
 class RelayDependencies(
     val context: RouterContext,
@@ -41,7 +42,7 @@
     val sender: EndpointSender,
     val trackers: Trackers,
     val invariants: RelayInvariants,
-    val belongsTo: (StreamEvent, CallerRequest) -> Boolean,
+    val streams: StreamFormat,
 )
 
 /** Sends one request to one endpoint after another until its caller can be given a result. */
@@ -226,26 +227,27 @@
         val sent = dependencies.sender.send(request, plan, limits, activity)
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
-            is SendResult.Responding -> if (sent.head.genuine) {
-                readResponse(selection, sent)
-            } else {
-                // A faulty server may send bytes that look like a success.
-                sent.exchange.close()
-                CompletedAttempt(AttemptOutcome.Unknown(UnknownReason.MALFORMED))
+            is SendResult.Responding -> {
+                val reason = sent.head.unusableReason(route)
+                if (reason == null) {
+                    readResponse(selection, sent)
+                } else {
+                    sent.exchange.close()
+                    CompletedAttempt(AttemptOutcome.Unknown(reason))
+                }
             }
         }
     }
 
     private fun newStreamRelay(head: EndpointResponseHead) = StreamRelay(
-        writer = exchange.writer,
-        memory = exchange.memory.response,
+        exchange = exchange,
+        format = dependencies.streams,
         head = head,
         onStart = {
             exchange.firstByteAt = context.now()
             dependencies.trackers.evidence.answerBegan(request)
         },
         onEvents = { probe?.recordEvents(it) },
-        belongsTo = { dependencies.belongsTo(it, request) },
     )
 
     private suspend fun readResponse(selection: Selection, sent: SendResult.Responding): CompletedAttempt {
@@ -271,6 +273,14 @@
     }
 }
 
+/** Why a response on [route] must not reach the caller; null if it may. */
+private fun EndpointResponseHead.unusableReason(route: Route): UnknownReason? = when {
+    // A faulty server may send bytes that look like a success.
+    !genuine -> UnknownReason.MALFORMED
+    unmarkedRefusal && !route.repeatable -> UnknownReason.UNMARKED_REFUSAL
+    else -> null
+}
+
 /** The refusals of requests that no endpoint has answered. */
 internal object RelayRefusals {
     /** The refusal of a request that may have run. */
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -21,11 +21,13 @@
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
         UnknownReason.SLOW, UnknownReason.OUT_OF_MEMORY -> null
         UnknownReason.UNIDENTIFIED_REFUSAL -> HealthEvidence.FULL
+        UnknownReason.UNMARKED_REFUSAL -> HealthEvidence.FAILED
         UnknownReason.FRAMING_TOO_LONG,
         UnknownReason.TOO_MANY_INTERIM_RESPONSES,
         UnknownReason.TOO_MUCH_FOREIGN,
         UnknownReason.BODY_TOO_LONG,
         UnknownReason.EVENT_TOO_LONG,
+        UnknownReason.NO_CONTINUATION,
         -> HealthEvidence.LOST
         UnknownReason.CONNECTION_LOST, UnknownReason.MALFORMED, UnknownReason.TRUNCATED -> HealthEvidence.LOST
     }
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -38,6 +38,9 @@
     /** False once the connection will close, so that no further request is accepted. */
     val accepting: Boolean get() = !closer.closing && rejected == null
 
+    /** True while no request is handled or pending, and no response is being sent. */
+    val empty: Boolean get() = !responding && pending.isEmpty()
+
     private val hasNext: Boolean get() = pending.isNotEmpty() || rejected != null
 
     /** True while a request is handled or its response is being sent. */
@@ -77,6 +80,7 @@
         val writer = ConnectionWriter(context, pipeline.gate, Observer(exchange)) {
             exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
+        pipeline.encoder.beginResponse(exchange.request.method)
         val onFailure = CoroutineExceptionHandler { _, failure ->
             val clientLeft = failure is IOException && !context.channel().isActive
             if (!clientLeft) environment.onEvent(ServerEvent.HandlerFailed(exchange.request, failure))
@@ -113,6 +117,7 @@
 
     private fun respond(rejected: Rejected, keepAlive: Boolean = false) {
         val rejection = rejected.rejection
+        pipeline.encoder.beginResponse(rejected.exchange?.request?.method)
         val response = rejection.response(environment.options().rejectionBody(rejection), keepAlive)
         context.writeAndFlush(response).addListener { write ->
             if (rejected.exchange != null && write.isSuccess) exchanges.complete(rejected.exchange)
@@ -122,7 +127,7 @@
 
     /** Closes the connection if it has no request. */
     fun closeIfEmpty() {
-        if (!responding && pending.isEmpty()) {
+        if (empty) {
             closer.closeAfterWrites()
         }
     }
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionCloseTest.kt
@@ -9,6 +9,7 @@
 
 private const val LARGE_BODY_BYTES = 8_000_000
 private const val SMALL_RECEIVE_BUFFER = 4_096
+private const val WAITING_CLIENTS = 100
 
 class ConnectionCloseTest {
     private suspend fun respond(request: IncomingRequest, writer: ResponseWriter) =
@@ -86,4 +87,43 @@
                 expectThat(client.awaitEnd()).isTrue()
             }
         }
+
+    /** A stop of a busy server reset connections whose requests it had not got to yet. */
+    @Test
+    fun `connections that wait to be accepted when the server stops accepting get their responses`() =
+        ServerFixture(handler = ::respond).run {
+            val clients = mutableListOf<RawClient>()
+            onLoop {
+                repeat(WAITING_CLIENTS) { clients += RawClient(address).apply { get("/$it") } }
+                server.closeAfterResponse = true
+                server.stopAccepting()
+            }
+            val bodies = clients.map { client -> client.use { runCatching { it.read()?.body }.getOrNull() } }
+            expectThat(bodies).isEqualTo(List(WAITING_CLIENTS) { "/$it" })
+        }
+
+    /** The platform opens a connection, and its first request follows a moment later. */
+    @Test
+    fun `closing idle connections spares one that has only just been opened`() =
+        ServerFixture(handler = ::respond).run {
+            RawClient(address).use { client ->
+                eventually("the connection is open") { onLoop { server.connectionCount } == 1 }
+                onLoop { server.closeIdle() }
+                Thread.sleep(50)
+                client.get("/1")
+                expectThat(client.read()?.body).isEqualTo("/1")
+            }
+        }
+
+    @Test
+    fun `closing idle connections closes one on which no request comes`() = ServerFixture(handler = ::respond).run {
+        RawClient(address).use { client ->
+            eventually("the connection is open") { onLoop { server.connectionCount } == 1 }
+            eventually("the connection is closed") {
+                onLoop { server.closeIdle() }
+                onLoop { server.connectionCount } == 0
+            }
+            expectThat(client.awaitEnd()).isTrue()
+        }
+    }
 }
