Let the routers of a replayed large fleet hear of each other's loads

Traced: requests that found 26 to 30 in flight at their endpoint had been placed on an estimate of 1 to 2.

The replay's peers are now heard at all times, as in a fleet in order. The new test counts what a router knows of 73 requests of the others: 0 before, 73 now.

--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/LoadExchange.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/LoadExchange.kt
@@ -84,7 +84,7 @@
     private fun fleet(self: PeerAddress, now: Int) = FleetView(
         self = self.name,
         dataCentre = self.dataCentre,
-        peers = peers.filter { it.address != self },
+        peers = peers.filter { it.address != self }.map { it.copy(receivedAt = instant(now)) },
         statusInterval = GossipOptions().interval(addresses.size - 1),
         now = instant(now),
     )
--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/StaleLoadReplayTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/StaleLoadReplayTest.kt
@@ -1,5 +1,6 @@
 package comfreypath.coordination.placement
 
+import comfreypath.coordination.fleet.InFlight
 import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -37,7 +38,17 @@
     fun `many routers that act on loads of the same age do not overload the endpoint of a popular prefix together`() =
         listOf(large, larger).forEach { plan -> expectBounded(plan.copy(hotShare = 0.28), 1L..2L) }
 
+    @Test
+    fun `the relays of a replayed fleet bring each router the loads of all others`() {
+        val exchange = LoadExchange.of(large.routers)
+        repeat(SETTLED) { now -> exchange.tick(now) { InFlight(mapOf(KEY to 1)) } }
+        val known = List(large.routers) { exchange.atPeers(it, KEY, SETTLED) }
+        expectThat(known.toSet()).isEqualTo(setOf(large.routers - 1))
+    }
+
     private companion object {
+        const val KEY = 1
+        const val SETTLED = 5_000
         const val MIN_REQUESTS = 400
     }
 }
