Believe an outage of the store in a fleet of one data centre only from two routers

In a fleet of one data centre a single router whose own link was full, or which the store rejected, was believed: after its calls succeeded again, every router kept endpoints that had left for up to 1.5 s, and sent callers' requests there.

Cause: reports had to come from as many data centres as there are, two at most, so that in one data centre the number of reporting routers did not count.

Change: two routers have to report as well, or as many as the fleet has. FleetSize counts routers and data centres; PeerGossip, which counted data centres on its own, and FleetView use it.

StoreOutagesTest demanded the fault ("in a fleet of one data centre a peer's report suffices"); three tests take its place: one router's report is no outage, whether its own or a peer's, two routers' are one, and a router without peers relies on its own calls.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/FleetView.kt
@@ -26,7 +26,7 @@
     val selfHash: Long = hashOf(self.text)
 
     /** Number of data centres that have routers. */
-    val dataCentreCount: Int get() = peers.map { it.address.dataCentre }.plus(dataCentre).distinct().size
+    val dataCentreCount: Int get() = FleetSize.of(dataCentre, peers).dataCentres
 
     /** The same, without the peers in other data centres. */
     fun local(): FleetView = copy(peers = peers.filter { it.address.dataCentre == dataCentre })
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -12,13 +12,16 @@
 private const val MAX_REPORT_AGE_SECONDS = 10L
 private const val MIN_DATA_CENTRES = 2
 
+/** Reports of this many routers count in a fleet of one data centre. */
+private const val MIN_ROUTERS = 2
+
 /**
  * Outages of the store, as routers report them: this router by its own calls, the others in their status messages.
  *
  * Answers the load in which many leases of live endpoints expire at once because the store was away, and most routers
  * did not call it meanwhile. A router that is cut off from a sound store, or whose own link is full, reports an outage
  * too, and so may the others in its data centre. Reports are therefore believed only if they come from two data
- * centres, of which this router's may be one.
+ * centres, of which this router's may be one; in a fleet of one data centre, from two routers.
  *
  * @property self this router
  * @property failing the routers whose calls still fail, with the time of their last report
@@ -58,12 +61,13 @@
      * The end of the last outage, when the last reporting router had a response again; null if there was none.
      *
      * An outage that goes on does not count: what a router learns then comes from peers that the store answers.
-     * [dataCentres] is the number of data centres that have routers.
+     * [fleet] is the size of the whole fleet.
      */
-    fun lastEndedAt(now: Instant, dataCentres: Int): Instant? {
+    fun lastEndedAt(now: Instant, fleet: FleetSize): Instant? {
         val current = pruned(now)
-        val reporting = (current.failing.keys + current.ended.keys).map { it.dataCentre }.distinct().size
-        val believed = reporting >= minOf(MIN_DATA_CENTRES, dataCentres)
+        val reporting = current.failing.keys + current.ended.keys
+        val believed = reporting.size >= minOf(MIN_ROUTERS, fleet.routers) &&
+            reporting.distinctBy { it.dataCentre }.size >= minOf(MIN_DATA_CENTRES, fleet.dataCentres)
         return if (believed) current.ended.values.maxOrNull() else null
     }
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
@@ -18,7 +18,8 @@
     private val none = StoreOutages(self.name)
     private val long = Duration.ofMillis(1_500)
 
-    private fun StoreOutages.last(at: Instant, dataCentres: Int = 3) = lastEndedAt(at, dataCentres)
+    private fun StoreOutages.last(at: Instant, fleet: FleetSize = FleetSize(routers = 9, dataCentres = 3)) =
+        lastEndedAt(at, fleet)
 
     @Test
     fun `a router whose own calls alone fail, as on a full link, takes no removal for an outage`() {
@@ -69,9 +70,25 @@
     }
 
     @Test
-    fun `in a fleet of one data centre a peer's report suffices`() {
-        val recovered = none.reported(peerInA, long, now).reported(peerInA, Duration.ZERO, now)
-        expectThat(recovered.last(now, dataCentres = 1)).isEqualTo(now)
+    fun `in a fleet of one data centre the failing calls of one router, as on a full link, are no outage`() {
+        val local = FleetSize(routers = 5, dataCentres = 1)
+        val ofPeer = none.reported(peerInA, long, now).reported(peerInA, Duration.ZERO, now)
+        val ofSelf = none.reported(self, long, now).reported(self, Duration.ZERO, now)
+        expectThat(ofPeer.last(now, local)).isNull()
+        expectThat(ofSelf.last(now, local)).isNull()
+    }
+
+    @Test
+    fun `in a fleet of one data centre the reports of two routers are an outage`() {
+        val failing = none.reported(peerInA, long, now).reported(self, long, now)
+        val recovered = failing.reported(peerInA, Duration.ZERO, now)
+        expectThat(recovered.last(now, FleetSize(routers = 5, dataCentres = 1))).isEqualTo(now)
+    }
+
+    @Test
+    fun `a router that has no peers relies on its own calls`() {
+        val recovered = none.reported(self, long, now).reported(self, Duration.ZERO, now)
+        expectThat(recovered.last(now, FleetSize(routers = 1, dataCentres = 1))).isEqualTo(now)
     }
 
     @Test
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -3,6 +3,7 @@
 import comfreypath.coordination.Step
 import comfreypath.coordination.evidence.PartReport
 import comfreypath.coordination.fleet.ConfigurationFreshness
+import comfreypath.coordination.fleet.FleetSize
 import comfreypath.coordination.fleet.FleetView
 import comfreypath.coordination.fleet.GossipAction
 import comfreypath.coordination.fleet.GossipEvent
@@ -83,7 +84,7 @@
     var onPartReports: (InstanceName, List<PartReport>) -> Unit = { _, _ -> }
 
     private val outages = StoreOutageReports(context) {
-        state.peers.values.map { it.address.dataCentre }.plus(context.options.dataCentre).distinct().size
+        FleetSize.of(context.options.dataCentre, state.peers.values)
     }
 
     /** Whether the store responds to this router. */
--- a/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.peers
 
+import comfreypath.coordination.fleet.FleetSize
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StoreOutages
 import comfreypath.coordination.fleet.StoreOutages.ReportingRouter
@@ -11,9 +12,9 @@
 /**
  * Collects what this router and its peers report on outages of the store.
  *
- * @param dataCentreCount the number of data centres that have routers
+ * @param fleetSize the size of the fleet, with the routers that are not heard
  */
-internal class StoreOutageReports(private val context: RouterContext, private val dataCentreCount: () -> Int) {
+internal class StoreOutageReports(private val context: RouterContext, private val fleetSize: () -> FleetSize) {
     private val self = ReportingRouter(context.options.name, context.options.dataCentre)
     private var outages = StoreOutages(context.options.name)
     private var announced = false
@@ -30,7 +31,7 @@
     /** The end of the last outage; null if there was none. */
     fun lastOutageEndedAt(): Instant? {
         report(self, store.failingFor)
-        return outages.lastEndedAt(context.now(), dataCentreCount())
+        return outages.lastEndedAt(context.now(), fleetSize())
     }
 
     /** Returns true once in each outage of this router's own calls, when peers should hear of it. */
