Keep the sum of the reports' arrival times, instead of adding it up twice a selection

Callers saw nothing of it: the mean age of the peers' loads is read twice for each selection, by the estimate and for the log, and each time went over the reports of up to 40 peers. DirectLoads now keeps the sum of the arrival times as it does those of the loads, so that the age costs the same for any fleet. The new test replaces and removes reports; the age forgets them. Found in a review; the time of a selection was not measured for this change.

--- a/router/src/main/kotlin/comfreypath/router/peers/DirectLoads.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/DirectLoads.kt
@@ -12,6 +12,9 @@
     private val reports = HashMap<InstanceName, Report>()
     private val sums = HashMap<Int, Int>()
 
+    /** The arrival times of the reports, added up in milliseconds since the epoch. */
+    private var arrivals = 0L
+
     /** The requests of the peers at the endpoint with [key]. */
     fun inFlight(key: Int): Int = sums[key] ?: 0
 
@@ -20,7 +23,7 @@
         if (reports.isEmpty()) {
             Duration.ZERO
         } else {
-            Duration.ofMillis(reports.values.sumOf { Duration.between(it.at, now).toMillis() } / reports.size)
+            Duration.ofMillis(now.toEpochMilli() - arrivals / reports.size)
         }
 
     /** True if [peer] has a report. */
@@ -30,6 +33,7 @@
     fun put(peer: InstanceName, inFlight: InFlight, at: Instant) {
         remove(peer)
         reports[peer] = Report(inFlight, at)
+        arrivals += at.toEpochMilli()
         inFlight.counts.forEach { (key, count) -> sums.merge(key, count, Int::plus) }
     }
 
@@ -37,7 +41,9 @@
     fun retain(live: Set<InstanceName>) = (reports.keys - live).forEach(::remove)
 
     private fun remove(peer: InstanceName) {
-        reports.remove(peer)?.inFlight?.counts?.forEach { (key, count) ->
+        val removed = reports.remove(peer) ?: return
+        arrivals -= removed.at.toEpochMilli()
+        removed.inFlight.counts.forEach { (key, count) ->
             sums.computeIfPresent(key) { _, sum -> (sum - count).takeIf { it > 0 } }
         }
     }
--- a/router/src/test/kotlin/comfreypath/router/peers/DirectLoadsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/peers/DirectLoadsTest.kt
@@ -43,4 +43,14 @@
         loads.put(second, InFlight(), now.minusMillis(600))
         expectThat(loads.age(now)).isEqualTo(Duration.ofMillis(400))
     }
+
+    @Test
+    fun `a report that was replaced or removed no longer counts in the age`() {
+        loads.put(first, InFlight(), now.minusMillis(5_000))
+        loads.put(second, InFlight(), now.minusMillis(600))
+        loads.put(first, InFlight(), now.minusMillis(100))
+        expectThat(loads.age(now)).isEqualTo(Duration.ofMillis(350))
+        loads.retain(setOf(first))
+        expectThat(loads.age(now)).isEqualTo(Duration.ofMillis(100))
+    }
 }
