Look for a new belief in an outage only in status messages that tell of one

Callers saw nothing of it: StoreOutageReports computed the last outage before and after each status message, in calm too, over all known peers. It now compares the two only if the message has changed what is reported. Found in a review.

--- a/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/StoreOutageReports.kt
@@ -4,6 +4,7 @@
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StoreOutages
 import comfreypath.coordination.fleet.StoreOutages.ReportingRouter
+import comfreypath.coordination.model.InstanceName
 import comfreypath.router.RouterContext
 import comfreypath.router.store.StoreReachability
 import java.time.Duration
@@ -43,14 +44,22 @@
     /** Records the reports in a peer's latest status message. */
     fun heard(status: PeerStatus) {
         val router = ReportingRouter(status.from, status.dataCentre)
-        val before = lastOutageEndedAt()
+        report(self, store.failingFor)
+        val before = outages
         report(router, Duration.ofMillis(status.storeFailingMilliseconds))
         status.storeOutageEndedMilliseconds?.let {
             outages = outages.ended(router, context.now().minusMillis(it), context.now())
         }
-        val after = lastOutageEndedAt()
-        if (after != null && before == null) {
-            context.log.record("store_outage_believed", "peer" to status.from, "endedAt" to after)
+        if (outages !== before) {
+            logNewBelief(before, status.from)
+        }
+    }
+
+    private fun logNewBelief(before: StoreOutages, peer: InstanceName) {
+        val size = fleetSize()
+        val endedAt = outages.lastEndedAt(context.now(), size)
+        if (endedAt != null && before.lastEndedAt(context.now(), size) == null) {
+            context.log.record("store_outage_believed", "peer" to peer, "endedAt" to endedAt)
         }
     }
 
