Divide the load of an endpoint that returns from a pause among the routers

Callers of an overloaded service got fewer answers since pauses were respected than before: when the pauses ended, all routers sent the returning endpoints all that they had, filled their queues, and the endpoints paused again.

Cause: the steps after a pause, 1, 2, 4, 8 requests in flight for 250 ms each, held for each router by itself, and did not hold at all while no other endpoint could take requests, which is when many pause. After one second they ended, while the peers' reports still showed the endpoint as empty.

Now the limit is one for all routers, in requests per slot (1 to 3, by half a request each 250 ms, for 4 s in all), and each has an equal share of it by its position among the live routers. What a router itself has in flight has no age, so that the sum is bounded whatever the reports say. Where the limit is below the number of routers, they take turns. If no endpoint has room the request is refused at once, with a time within the next second; requests that return to the silent endpoint that they left are exempt.

The price: in large fleets the turns leave room unused in the seconds after a pause.

AvailabilityPolicyTest and AnnouncementTrackerTest expected the steps of each router, and that an endpoint without others is never limited: this rule was the fault. They check the new steps and their end as exactly.

--- a/coordination/src/main/kotlin/comfreypath/coordination/availability/Availability.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/availability/Availability.kt
@@ -12,8 +12,13 @@
         override val allowsRequests: Boolean get() = true
     }
 
-    /** A pause has just ended: the endpoint should have at most [maxInFlight] requests of this router in flight. */
-    data class Recovering(val maxInFlight: Int) : Availability {
+    /**
+     * A pause has just ended.
+     *
+     * @property step the number of steps since then
+     * @property loadPerSlot how many requests of all routers together the endpoint should have at most, per slot
+     */
+    data class Recovering(val step: Int, val loadPerSlot: Double) : Availability {
         override val allowsRequests: Boolean get() = true
     }
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/availability/AvailabilityPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/availability/AvailabilityPolicy.kt
@@ -48,8 +48,12 @@
 
     private fun recovering(sincePause: Duration): Availability {
         val step = sincePause.toMillis() / options.recoveryStep.toMillis()
-        val recovering = step < options.recoverySteps
-        return if (recovering) Availability.Recovering(maxInFlight = 1 shl step.toInt()) else Availability.Open
+        return if (step < options.recoverySteps) {
+            val load = options.initialLoadPerSlot + step * options.loadPerSlotIncrement
+            Availability.Recovering(step.toInt(), load.coerceAtMost(options.maxLoadPerSlot))
+        } else {
+            Availability.Open
+        }
     }
 
     /** The state after [event] at [now], and the changes that it brings. */
--- a/coordination/src/main/kotlin/comfreypath/coordination/overload/Admission.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/overload/Admission.kt
@@ -19,6 +19,9 @@
 
     /** The team has more than its share of the requests in progress, while other teams have requests too. */
     OVER_SHARE,
+
+    /** All endpoints have just ended a pause, and this router has its share of requests at them. */
+    RETURNING,
 }
 
 /**
--- a/coordination/src/test/kotlin/comfreypath/coordination/availability/AvailabilityPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/availability/AvailabilityPolicyTest.kt
@@ -97,18 +97,20 @@
     @Test
     fun `work returns by steps when a pause ends`() {
         pause(1_000)
-        val moments = listOf(999L, 1_000L, 1_249L, 1_250L, 1_500L, 1_750L, 2_000L)
+        val moments = listOf(999L, 1_000L, 1_249L, 1_250L, 1_500L, 1_750L, 2_000L, 4_999L, 5_000L)
         expectThat(moments.map { availability(it) }).containsExactly(
             Availability.Paused(at(1_000)),
-            Availability.Recovering(1),
-            Availability.Recovering(1),
-            Availability.Recovering(2),
-            Availability.Recovering(4),
-            Availability.Recovering(8),
+            Availability.Recovering(0, 1.0),
+            Availability.Recovering(0, 1.0),
+            Availability.Recovering(1, 1.5),
+            Availability.Recovering(2, 2.0),
+            Availability.Recovering(3, 2.5),
+            Availability.Recovering(4, 3.0),
+            Availability.Recovering(15, 3.0),
             Availability.Open,
         )
-        expectThat(entries(endpoint, at = 1_999)).isEmpty()
-        expectThat(entries(endpoint, at = 2_000))
+        expectThat(entries(endpoint, at = 4_999)).isEmpty()
+        expectThat(entries(endpoint, at = 5_000))
             .containsExactly(AvailabilityChange.Cleared(endpoint, ClearReason.PAUSE_OVER))
         expectThat(state.isEmpty).isTrue()
     }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -284,6 +284,7 @@
         val detail = when (rejection.reason) {
             RefusalReason.TOO_LATE -> "every endpoint is full, and none would be free in time"
             RefusalReason.OVER_SHARE -> "every endpoint is full, and the team has more than its share in progress"
+            RefusalReason.RETURNING -> "every endpoint has just ended a pause and takes few requests for now"
         }
         return Refusal(RefusalCode.OVERLOADED, detail, rejection.retryAfter)
     }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -11,6 +11,7 @@
 import comfreypath.coordination.overload.FirstEventTimeout
 import comfreypath.coordination.overload.Occupancy
 import comfreypath.coordination.overload.OverloadPolicy
+import comfreypath.coordination.overload.RefusalReason
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.Placement
 import comfreypath.coordination.placement.PrefixShares
@@ -21,6 +22,7 @@
 import comfreypath.coordination.placement.unitInterval
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.Route
+import comfreypath.coordination.verdict.RetryAfterPolicy
 import comfreypath.router.RouterContext
 import comfreypath.router.sending.EndpointLoads
 import comfreypath.router.sending.Trackers
@@ -135,12 +137,18 @@
         val service = exchange.route.serviceFor(requestHash)
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
         val others = if (held == null) excluded else registered.mapTo(HashSet()) { it.name } - held
-        val candidates = candidates(exchange, registered, others, context.now())
+        val eligible = eligible(exchange, registered, others, context.now())
+        // A request that has held a slot returns to it.
+        val withRoom = if (held == null) trackers.endpoints.withRoom(eligible, peers.names) else eligible
+        val candidates = candidates(exchange, withRoom, context.now())
         val allOut = if (candidates.isEmpty()) gate.allOut(registered) else null
         val admission = service?.takeIf { held == null }?.let { admission(exchange, it, candidates) }
         return when {
             admission is Admission.Refused -> SelectionResult.Overloaded(admission)
             allOut != null -> allOut
+            candidates.isEmpty() && eligible.isNotEmpty() -> SelectionResult.Overloaded(
+                returning(exchange, context.now())
+            )
             else -> place(exchange, registered, candidates, requestHash)?.let { SelectionResult.Selected(it) }
                 ?: SelectionResult.NoEndpoint
         }
@@ -201,17 +209,20 @@
         exchange.offered = true
     }
 
-    private fun candidates(
+    private fun eligible(
         exchange: CallerExchange,
         registered: List<Endpoint>,
         excluded: Set<EndpointName>,
         now: Instant,
-    ): List<Candidate> {
-        val available = registered.filter { it.name !in excluded && gate.accepts(it) && admitsIfCold(it, now) }
-        val eligible = trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
-        val unlimited = trackers.endpoints.withinLimits(eligible)
-        val responsive = unlimited.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
-            .ifEmpty { unlimited }
+    ): List<Endpoint> {
+        val available = registered.filter { it.name !in excluded && gate.accepts(it) }
+            .filter { admitsIfCold(it, now) }
+        return trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
+    }
+
+    private fun candidates(exchange: CallerExchange, eligible: List<Endpoint>, now: Instant): List<Candidate> {
+        val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
+            .ifEmpty { eligible }
         val usable = HealthFilter.usable(responsive, now) { trackers.endpoints.entry(it.name).health }
         val holdTime = usable.firstOrNull()
             ?.let { trackers.progress.expectedTimes(it.service, exchange.route.name).holdTime }
@@ -280,6 +291,15 @@
     }?.service ?: destinations.lastOrNull()?.service
 }
 
+/** The refusal while all endpoints return from a pause and have as many requests of this router as they should. */
+private fun returning(exchange: CallerExchange, now: Instant): Admission.Refused {
+    val timeLeft = Duration.between(now, exchange.deadline)
+    return Admission.Refused(
+        RefusalReason.RETURNING,
+        RetryAfterPolicy.whenAllAreOut(untilFirstReturn = Duration.ZERO, timeLeft, exchange.request.jitter),
+    )
+}
+
 /** The ID of the longest prefix of the prompt that other requests may share; null if there is none. */
 private val CallerRequest.sharedPrefixId: Long? get() = prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId
 
--- a/router/src/main/kotlin/comfreypath/router/sending/AnnouncementTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/AnnouncementTracker.kt
@@ -5,9 +5,12 @@
 import comfreypath.coordination.availability.AvailabilityEvent
 import comfreypath.coordination.availability.AvailabilityPolicy
 import comfreypath.coordination.availability.EndpointAnnouncements
+import comfreypath.coordination.availability.FleetPosition
 import comfreypath.coordination.availability.Incarnation
+import comfreypath.coordination.availability.RecoveryLimits
 import comfreypath.coordination.availability.incarnation
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
@@ -22,6 +25,7 @@
 /** Keeps what endpoints announce in their responses, and logs when they are taken out and when they are back. */
 class AnnouncementTracker(private val context: RouterContext) {
     private val policy = AvailabilityPolicy()
+    private val recoveryLimits = RecoveryLimits()
     private val unreadableLogInterval = Duration.ofSeconds(UNREADABLE_LOG_SECONDS)
     private val unreadableLoggedAt = HashMap<EndpointName, Instant>()
     private var state = EndpointAnnouncements()
@@ -31,18 +35,18 @@
         if (state.isEmpty) Availability.Open else policy.availability(state, endpoint.incarnation, context.now())
 
     /**
-     * Leaves out the [endpoints] whose pause has just ended and that have as many requests [inFlight] as they should,
-     * unless none would remain.
+     * Leaves out the [endpoints] whose pause has just ended and at which this router has as many requests [inFlight] as
+     * it should.
      */
-    fun withinLimits(endpoints: List<Endpoint>, inFlight: (Endpoint) -> Int): List<Endpoint> =
-        if (state.isEmpty) {
-            endpoints
-        } else {
-            endpoints.filterNot { endpoint ->
-                val availability = of(endpoint)
-                availability is Availability.Recovering && inFlight(endpoint) >= availability.maxInFlight
-            }.ifEmpty { endpoints }
-        }
+    fun withRoom(
+        endpoints: List<Endpoint>,
+        peers: Collection<InstanceName>,
+        inFlight: (Endpoint) -> Int,
+    ): List<Endpoint> = if (state.isEmpty) {
+        endpoints
+    } else {
+        recoveryLimits.withRoom(endpoints, FleetPosition.of(context.options.name, peers), ::of, inFlight)
+    }
 
     /**
      * Learns what [head], which [endpoint] has sent in response to [request], announces. A head that does not name the
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -6,6 +6,7 @@
 import comfreypath.coordination.health.OutlierDetector
 import comfreypath.coordination.limits.TokenBucket
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
@@ -29,9 +30,9 @@
     fun entry(name: EndpointName): EndpointEntry =
         entries.getOrPut(name) { EndpointEntry(hashOf(name.text), context.now()) }
 
-    /** Leaves out [endpoints] that return from a pause and have enough requests, unless none would remain. */
-    fun withinLimits(endpoints: List<Endpoint>): List<Endpoint> =
-        announcements.withinLimits(endpoints) { entry(it.name).inFlight }
+    /** Leaves out [endpoints] that return from a pause and have this router's share; [peers] have the rest. */
+    fun withRoom(endpoints: List<Endpoint>, peers: Collection<InstanceName>): List<Endpoint> =
+        announcements.withRoom(endpoints, peers) { entry(it.name).inFlight }
 
     /** Applies the evidence of an attempt to the endpoint's health, and logs ejections and recoveries. */
     fun observe(name: EndpointName, evidence: HealthEvidence) {
--- a/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
@@ -7,6 +7,7 @@
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.model.VersionName
+import comfreypath.coordination.overload.RefusalReason
 import comfreypath.coordination.routing.CallerLimits
 import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.routing.Destination
@@ -204,6 +205,22 @@
         }
     }
 
+    /** When their pauses had ended, all routers sent them all that they had, and they paused again. */
+    @Test
+    fun `requests beyond a router's share are refused while all endpoints return from a pause`() {
+        val endpoint = endpoint("a")
+        register(endpoint)
+        announce(endpoint) { copy(pause = PAUSE) }
+        Thread.sleep(PAUSE.toMillis() + 1)
+        tracker.entry(endpoint.name).inFlight = MAX_LOAD_PER_SLOT * endpoint.slots - 1
+        expectThat(selector.select(exchange(), emptySet())).isA<SelectionResult.Selected>()
+        tracker.entry(endpoint.name).inFlight += 1
+        expectThat(selector.select(exchange(), emptySet())).isA<SelectionResult.Overloaded>()
+            .get { admission.reason }.isEqualTo(RefusalReason.RETURNING)
+        expectThat(selector.select(exchange(), emptySet(), held = setOf(endpoint.name)))
+            .describedAs("a request that has held a slot there").isA<SelectionResult.Selected>()
+    }
+
     @Test
     fun `an endpoint that was tried and has not paused is not counted as out`() {
         val endpoints = listOf(endpoint("a"), endpoint("b"))
@@ -214,6 +231,8 @@
 
     private companion object {
         const val SELECTIONS = 50
+        const val MAX_LOAD_PER_SLOT = 3
+        val PAUSE: Duration = Duration.ofMillis(20)
     }
 
     private object UnusedWriter : ResponseWriter {
--- a/router/src/test/kotlin/comfreypath/router/sending/AnnouncementTrackerTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/sending/AnnouncementTrackerTest.kt
@@ -73,16 +73,19 @@
     }
 
     @Test
-    fun `work returns by steps after a pause, and is not refused if all endpoints return`() {
+    fun `work returns by steps after a pause, also if all endpoints return`() {
+        val other = endpoint.copy(name = EndpointName("f"))
+        fun withRoom(inFlight: Int, vararg endpoints: Endpoint) =
+            tracker.withRoom(endpoints.asList(), peers = emptyList()) { inFlight }
         tracker.observe(endpoint, head.copy(pause = Duration.ofSeconds(1)), request)
         expectThat(tracker.of(endpoint)).isEqualTo(Availability.Paused(now.plusSeconds(1)))
-        val other = endpoint.copy(name = EndpointName("f"))
         now = now.plusSeconds(1)
-        expectThat(tracker.withinLimits(listOf(endpoint, other)) { 0 }).isEqualTo(listOf(endpoint, other))
-        expectThat(tracker.withinLimits(listOf(endpoint, other)) { 1 }).isEqualTo(listOf(other))
-        expectThat(tracker.withinLimits(listOf(endpoint)) { 1 }).isEqualTo(listOf(endpoint))
+        expectThat(withRoom(0, endpoint, other)).isEqualTo(listOf(endpoint, other))
+        expectThat(withRoom(1, endpoint, other)).isEqualTo(listOf(other))
+        expectThat(withRoom(1, endpoint)).isEqualTo(listOf(endpoint))
+        expectThat(withRoom(3, endpoint)).isEqualTo(emptyList())
         now = now.plus(AvailabilityOptions().recoveryTime)
-        expectThat(tracker.withinLimits(listOf(endpoint, other)) { 100 }).isEqualTo(listOf(endpoint, other))
+        expectThat(withRoom(100, endpoint, other)).isEqualTo(listOf(endpoint, other))
     }
 
     @Test
