Give back what an attempt that sent nothing has taken of a cold endpoint's rate and a roll-out's share

Callers of a service with a cold endpoint, or with a new version, were refused or sent to the other version after attempts that were withheld because their endpoint had announced something while the connection was opened: such an attempt took a token of the cold endpoint's bucket, a request of the version's share and one of the attempts from which loads are projected, and kept them.

The share of the roll-out is covered by RolloutControllerTest with the new event, which did not exist before.

Now the loop reports a withheld attempt to the trackers, which take the three counts back.

--- a/coordination/src/main/kotlin/comfreypath/coordination/limits/TokenBucket.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/limits/TokenBucket.kt
@@ -27,6 +27,9 @@
     /** The bucket after one event at [now]; an event that exceeds the limit empties it. */
     fun acquire(now: Instant): TokenBucket = copy(tokens = maxOf(0.0, available(now) - 1.0), filledAt = now)
 
+    /** The bucket after an event that was acquired has not taken place. */
+    fun release(now: Instant): TokenBucket = copy(tokens = minOf(burst, available(now) + 1.0), filledAt = now)
+
     /** The bucket with another [rate] per second and the tokens that it holds at [now]. */
     fun withRate(rate: Double, now: Instant): TokenBucket =
         if (rate == ratePerSecond) this else copy(ratePerSecond = rate, tokens = available(now), filledAt = now)
--- a/coordination/src/main/kotlin/comfreypath/coordination/rollout/CanaryQuota.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/rollout/CanaryQuota.kt
@@ -31,6 +31,17 @@
         return if (next.routes.size > MAX_ROUTES) next.copy(routes = persistentMapOf()) else next
     }
 
+    /** The quota if a request on [route] that was counted has not been sent. */
+    fun without(route: Int, canary: Boolean): CanaryQuota = CanaryQuota(
+        total.without(canary),
+        routes[route]?.let { routes.put(route, it.without(canary)) } ?: routes,
+    )
+
+    private fun RequestCount.without(canary: Boolean) = RequestCount(
+        (requests - 1).coerceAtLeast(0),
+        (if (canary) canaries - 1 else canaries).coerceAtLeast(0),
+    )
+
     private fun RequestCount.with(canary: Boolean) =
         RequestCount(requests + 1, if (canary) canaries + 1 else canaries)
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/rollout/RolloutController.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/rollout/RolloutController.kt
@@ -31,6 +31,9 @@
     fun step(progress: RolloutProgress, event: RolloutEvent, now: Instant): RolloutStep = when (event) {
         is RolloutEvent.OrderReceived -> Step(ordered(progress, event.order, event.revision, now))
         is RolloutEvent.Sent -> Step(sent(progress, event))
+        is RolloutEvent.Withheld -> Step(
+            progress.copy(quota = progress.quota.without(event.route, event.version == progress.order.target)),
+        )
         is RolloutEvent.Sampled -> judged(EvidenceMerge.sampled(progress, event))
         is RolloutEvent.ReportReceived -> judged(EvidenceMerge.reported(progress, event, now))
         is RolloutEvent.Tick -> ticked(progress, event, now)
--- a/coordination/src/main/kotlin/comfreypath/coordination/rollout/RolloutEvent.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/rollout/RolloutEvent.kt
@@ -13,6 +13,9 @@
     /** This router sent a request on [route] to an endpoint that runs [version]. */
     data class Sent(val route: Int, val version: VersionName) : RolloutEvent
 
+    /** A request that was counted as [Sent] was not sent after all. */
+    data class Withheld(val route: Int, val version: VersionName) : RolloutEvent
+
     /** An attempt of this router showed something about a version. */
     data class Sampled(val route: Int, val evidence: RouteEvidence) : RolloutEvent
 
--- a/coordination/src/test/kotlin/comfreypath/coordination/rollout/RolloutControllerTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/rollout/RolloutControllerTest.kt
@@ -164,4 +164,12 @@
         val rolledBack = running.after(RolloutEvent.OrderReceived(recorded(RolloutState.ROLLED_BACK), REVISION + 1))
         expectThat(allowed(rolledBack)).containsExactly(old)
     }
+
+    /** Endpoints that announced a pause or that they leave used up the share of the target, which got no request. */
+    @Test
+    fun `a request that was not sent does not count towards the target's share`() {
+        val running = started().after(RolloutEvent.Sent(1, old.version))
+        val withheld = running.after(RolloutEvent.Sent(1, target)).after(RolloutEvent.Withheld(1, target))
+        expectThat(withheld.quota).isEqualTo(running.quota)
+    }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -99,7 +99,10 @@
         val begun = stream?.started == true
         dependencies.trackers.evidence.attemptEnded(request, selection.endpoint, attempt.outcome, begun)
         if (attempt.outcome.leavesSilentEndpoint) targets.recordLeft(selection.endpoint.name)
-        if (attempt.outcome == AttemptOutcome.Withheld) targets.recordWithheld(selection.endpoint.name)
+        if (attempt.outcome == AttemptOutcome.Withheld) {
+            targets.recordWithheld(selection.endpoint.name)
+            dependencies.trackers.recordWithheld(selection.endpoint, route, context.now())
+        }
         val (next, decision) = decide(selection, attempt.outcome)
         state = next
         recordAttempt(selection, attempt.outcome, decision)
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -113,10 +113,14 @@
         return driver.progress.open && driver.targetUsable || context.now() < driver.closedAt + SETTLING_TIME
     }
 
-    /** Records that a request on [route] is sent to [endpoint]. */
-    fun recordSent(endpoint: Endpoint, route: Route) {
-        byService[endpoint.service]?.takeIf { it.progress.open }?.let { driver ->
-            driver.step(RolloutEvent.Sent(RolloutReport.routeKey(route.name), endpoint.version))
+    /** Records that a request on [route] is sent to [endpoint], or that one is [withheld] that was to be sent. */
+    fun recordSent(endpoint: Endpoint, route: Route, withheld: Boolean = false) {
+        val driver = byService[endpoint.service]?.takeIf { it.progress.open } ?: return
+        val routeKey = RolloutReport.routeKey(route.name)
+        if (withheld) {
+            driver.step(RolloutEvent.Withheld(routeKey, endpoint.version))
+        } else {
+            driver.step(RolloutEvent.Sent(routeKey, endpoint.version))
             val target = endpoint.version == driver.progress.order.target
             context.metrics.rolloutRequests.labelValues(endpoint.service.text, target.toString()).inc()
         }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -106,6 +106,12 @@
         while (attemptTimes.first() + ATTEMPT_WINDOW < now) attemptTimes.removeFirst()
     }
 
+    /** Records at [now] that a recent attempt has sent nothing. */
+    fun recordWithheld(now: Instant) {
+        attemptTimes.removeLastOrNull()
+        coldBucket = coldBucket?.release(now)
+    }
+
     /** The number of attempts that have begun after [at], which may not be more than five seconds ago. */
     fun sentSince(at: Instant): Int {
         var count = 0
--- a/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
@@ -1,7 +1,10 @@
 package comfreypath.router.sending
 
+import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.Route
 import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.rollout.VersionRollouts
+import java.time.Instant
 
 /**
  * The counts and measurements that this router updates while it sends requests.
@@ -18,4 +21,10 @@
     val progress: ServiceProgress,
     val rollouts: VersionRollouts,
     val evidence: AttemptEvidence,
-)
+) {
+    /** Records at [now] that an attempt on [route] which has begun at [endpoint] has sent nothing. */
+    fun recordWithheld(endpoint: Endpoint, route: Route, now: Instant) {
+        endpoints.entry(endpoint.name).recordWithheld(now)
+        rollouts.recordSent(endpoint, route, withheld = true)
+    }
+}
--- a/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
@@ -7,10 +7,13 @@
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.model.VersionName
+import comfreypath.coordination.routing.CallerLimits
+import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.routing.Destination
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.Route
 import comfreypath.coordination.routing.RouteKind
+import comfreypath.coordination.routing.Service
 import comfreypath.router.MonotonicClock
 import comfreypath.router.TestContext
 import comfreypath.router.evidence.AttemptEvidence
@@ -35,6 +38,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
@@ -45,6 +49,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.time.Duration
@@ -147,15 +152,16 @@
     )
 
     /** Runs a request that is connecting to its endpoint when [meanwhile] happens, and expects that it is not sent. */
-    private fun expectNotSent(meanwhile: () -> Unit) = runBlocking(context.loop.dispatcher()) {
-        register(revision = 1, endpoint)
-        val result = async(start = CoroutineStart.UNDISPATCHED) { AttemptLoop(dependencies, exchange()).run() }
-        expectThat(pool.openCount(Address(endpoint.host, endpoint.port))).isEqualTo(1)
-        expectThat(sent).isEmpty()
-        meanwhile()
-        expectThat(result.await()).isA<RelayResult.Refused>()
-        expectThat(sent).isEmpty()
-        Unit
+    private fun expectNotSent(registered: Endpoint = endpoint, meanwhile: () -> Unit) {
+        runBlocking(context.loop.dispatcher()) {
+            register(revision = 1, registered)
+            val result = async(start = CoroutineStart.UNDISPATCHED) { AttemptLoop(dependencies, exchange()).run() }
+            expectThat(pool.openCount(Address(endpoint.host, endpoint.port))).isEqualTo(1)
+            expectThat(sent).isEmpty()
+            meanwhile()
+            expectThat(result.await()).isA<RelayResult.Refused>()
+            expectThat(sent).isEmpty()
+        }
     }
 
     @Test
@@ -173,6 +179,31 @@
             view.evacuations.replace(listOf(evacuated), revision = 2, confirmedAt = Instant.now())
         }
 
+    /** The next request to the endpoint, once it was back, was refused for a second or more. */
+    @Test
+    fun `a request that was not sent takes nothing of a cold endpoint's rate`() {
+        val cold = endpoint.copy(coldMilliseconds = 60_000)
+        val limited = Service(
+            name = service,
+            healthPath = "/health",
+            maxConnections = 10,
+            coldStart = Duration.ofSeconds(60),
+            coldRequestsPerSecond = 0.1,
+            engine = null,
+        )
+        val configuration = Configuration(
+            version = 1,
+            routes = persistentListOf(route),
+            services = persistentMapOf(service to limited),
+            limits = CallerLimits(),
+            teams = null,
+        )
+        view.configuration.update(configuration, revision = 1, confirmedAt = clock.instant(), document = "{}")
+        expectNotSent(cold) { register(revision = 2, cold.copy(draining = true)) }
+        expectThat(tracker.entry(cold.name).coldBucket).isNotNull()
+            .get { available(clock.instant()) }.isEqualTo(1.0)
+    }
+
     private object UnusedWriter : ResponseWriter {
         override val started: Boolean get() = false
 
