--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -102,7 +102,10 @@
         val begun = stream?.started == true
         dependencies.trackers.evidence.attemptEnded(request, selection.endpoint, attempt.outcome, begun)
         if (attempt.outcome.leavesSilentEndpoint) targets.recordLeft(selection.endpoint.name)
-        if (attempt.outcome == AttemptOutcome.Withheld) targets.recordWithheld(selection.endpoint.name)
+        if (attempt.outcome == AttemptOutcome.Withheld) {
+            targets.recordWithheld(selection.endpoint.name)
+            dependencies.trackers.recordWithheld(selection.endpoint, route, context.now())
+        }
         val (next, decision) = decide(selection, attempt.outcome)
         state = next
         recordAttempt(selection, attempt.outcome, decision)
@@ -299,6 +302,7 @@
         val detail = when (rejection.reason) {
             RefusalReason.TOO_LATE -> "every endpoint is full, and none would be free in time"
             RefusalReason.OVER_SHARE -> "every endpoint is full, and the team has more than its share in progress"
+            RefusalReason.RETURNING -> "every endpoint has just ended a pause and takes few requests for now"
         }
         return Refusal(RefusalCode.OVERLOADED, detail, rejection.retryAfter)
     }
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -6,6 +6,7 @@
 import comfreypath.coordination.health.OutlierDetector
 import comfreypath.coordination.limits.TokenBucket
 import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
@@ -29,9 +30,9 @@
     fun entry(name: EndpointName): EndpointEntry =
         entries.getOrPut(name) { EndpointEntry(hashOf(name.text), context.now()) }
 
-    /** Leaves out [endpoints] that return from a pause and have enough requests, unless none would remain. */
-    fun withinLimits(endpoints: List<Endpoint>): List<Endpoint> =
-        announcements.withinLimits(endpoints) { entry(it.name).inFlight }
+    /** Leaves out [endpoints] that return from a pause and have this router's share; [peers] have the rest. */
+    fun withRoom(endpoints: List<Endpoint>, peers: Collection<InstanceName>): List<Endpoint> =
+        announcements.withRoom(endpoints, peers) { entry(it.name).inFlight }
 
     /** Applies the evidence of an attempt to the endpoint's health, and logs ejections and recoveries. */
     fun observe(name: EndpointName, evidence: HealthEvidence) {
@@ -105,6 +106,12 @@
         while (attemptTimes.first() + ATTEMPT_WINDOW < now) attemptTimes.removeFirst()
     }
 
+    /** Records at [now] that a recent attempt has sent nothing. */
+    fun recordWithheld(now: Instant) {
+        attemptTimes.removeLastOrNull()
+        coldBucket = coldBucket?.release(now)
+    }
+
     /** The number of attempts that have begun after [at], which may not be more than five seconds ago. */
     fun sentSince(at: Instant): Int {
         var count = 0
