Read the request rate that endpoints name in their responses

An endpoint in need names in its responses `Server-Limit`, the requests a second that it takes from all routers together. No code read it. The dialects now decode it into `EndpointResponseHead.rateLimit`: decimal digits with or without a fraction, as for pauses; anything else, or more than one value, becomes `unreadableRateLimit`. The OpenAI-style interface has `comfreypath-rate-limit`. Like `Server-Leaving`, the header is passed on to callers unchanged.

What is counted and logged of announcements that can't be read moves to `UnreadableAnnouncements`, so that rates can use it too; the line `pause_unreadable` and its metric are unchanged. The stand-in server names a rate, and refuses nothing for it.

--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
@@ -18,6 +18,7 @@
 
 /** Ten years; longer pauses could overflow. */
 private const val MAX_PAUSE_MILLISECONDS = 315_360_000_000L
+private val DECIMAL = Regex("[0-9]+(\\.[0-9]+)?")
 private val HOP_BY_HOP_HEADERS = listOf("connection", "keep-alive", "transfer-encoding", "content-length")
 
 /** Encodes requests to the engines and plain services of the OpenAI-style interface and reads their responses. */
@@ -37,10 +38,14 @@
     override fun read(status: Int, headers: HttpHeaders): EndpointResponseHead {
         val pauseText = headers.get(OpenAiHeaders.PAUSE).takeIf { status == UNAVAILABLE }
         val pause = pauseText?.toLongOrNull()?.takeIf { it in 0..MAX_PAUSE_MILLISECONDS }?.let { Duration.ofMillis(it) }
+        val rateLimitText = headers.get(OpenAiHeaders.RATE_LIMIT)
+        val rateLimit = rateLimitText?.takeIf { DECIMAL.matches(it) }?.toDouble()
         return readHead(status, headers).copy(
             leaving = headers.contains(OpenAiHeaders.LEAVING),
             pause = pause,
             unreadablePause = pauseText.takeIf { pause == null },
+            rateLimit = rateLimit,
+            unreadableRateLimit = rateLimitText.takeIf { rateLimit == null },
         )
     }
 
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiHeaders.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiHeaders.kt
@@ -26,6 +26,9 @@
     /** How long an endpoint that refuses with status 503 asks for no requests, in milliseconds. */
     const val PAUSE = "comfreypath-pause"
 
+    /** The requests per second that an endpoint takes from all routers together; on each response while it holds. */
+    const val RATE_LIMIT = "comfreypath-rate-limit"
+
     /** The ID of the last event of a stream that the sender has received. */
     const val LAST_EVENT_ID = "last-event-id"
 
--- a/openai/src/test/kotlin/comfreypath/openai/OpenAiEndpointAnnouncementTest.kt
+++ b/openai/src/test/kotlin/comfreypath/openai/OpenAiEndpointAnnouncementTest.kt
@@ -20,6 +20,17 @@
         expectThat(read(200, OpenAiHeaders.REQUEST_ID, "r").leaving).isFalse()
     }
 
+    @Test
+    fun `an endpoint names the rate that it takes`() {
+        expectThat(read(200, OpenAiHeaders.RATE_LIMIT, "4.3").rateLimit).isEqualTo(4.3)
+        expectThat(read(200, OpenAiHeaders.REQUEST_ID, "r").rateLimit).isNull()
+        listOf("-1", "1e3", "few").forEach {
+            val head = read(503, OpenAiHeaders.RATE_LIMIT, it)
+            expectThat(head.rateLimit).isNull()
+            expectThat(head.unreadableRateLimit).isEqualTo(it)
+        }
+    }
+
     @Test
     fun `an endpoint that refuses asks for a pause in milliseconds`() {
         expectThat(read(503, OpenAiHeaders.PAUSE, "1500").pause).isEqualTo(Duration.ofMillis(1_500))
--- a/openai/src/test/kotlin/comfreypath/openai/OpenAiHeadersTest.kt
+++ b/openai/src/test/kotlin/comfreypath/openai/OpenAiHeadersTest.kt
@@ -18,6 +18,7 @@
             "comfreypath-not-run",
             "comfreypath-leaving",
             "comfreypath-pause",
+            "comfreypath-rate-limit",
             "last-event-id",
             "idempotency-key",
             "idempotency-replayed",
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -53,6 +53,8 @@
  * @property leaving true when the endpoint announces that it leaves
  * @property pause how long the endpoint, which refuses the request, asks for no others; null if it does not
  * @property unreadablePause the text in place of a pause that is no usable time; null if there is none
+ * @property rateLimit the requests per second that the endpoint takes from all routers; null if it names none
+ * @property unreadableRateLimit the text in place of a rate that is no usable number; null if there is none
  * @property forwardedHeaders the headers that are passed on to the caller
  */
 data class EndpointResponseHead(
@@ -70,7 +72,13 @@
     val leaving: Boolean = false,
     val pause: Duration? = null,
     val unreadablePause: String? = null,
-)
+    val rateLimit: Double? = null,
+    val unreadableRateLimit: String? = null,
+) {
+    /** True if [sender] has sent this head in response to [request], and not a copy or another endpoint's. */
+    fun isFrom(sender: Endpoint, request: RequestId): Boolean =
+        requestId == request && genuine && !wrongEndpoint && (endpoint == null || endpoint == sender.name)
+}
 
 /** The load that an endpoint reports: requests running, requests waiting, and how many it can run at once. */
 data class ReportedLoad(val running: Int, val waiting: Int, val slots: Int)
--- a/router/src/main/kotlin/comfreypath/router/sending/AnnouncementTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/AnnouncementTracker.kt
@@ -7,23 +7,16 @@
 import comfreypath.coordination.availability.EndpointAnnouncements
 import comfreypath.coordination.availability.Incarnation
 import comfreypath.coordination.availability.incarnation
-import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
 import comfreypath.router.request.EndpointResponseHead
-import java.time.Duration
 import java.time.Instant
 
-private const val UNREADABLE_LOG_SECONDS = 60L
-private const val MAX_UNREADABLE_ENDPOINTS = 1_024
-private const val MAX_LOGGED_CHARACTERS = 64
-
 /** Keeps what endpoints announce in their responses, and logs when they are taken out and when they are back. */
 class AnnouncementTracker(private val context: RouterContext) {
     private val policy = AvailabilityPolicy()
-    private val unreadableLogInterval = Duration.ofSeconds(UNREADABLE_LOG_SECONDS)
-    private val unreadableLoggedAt = HashMap<EndpointName, Instant>()
+    private val unreadable = UnreadableAnnouncements(context, "pause")
     private var state = EndpointAnnouncements()
 
     /** Whether [endpoint] may get new requests now. */
@@ -50,8 +43,8 @@
      */
     fun observe(endpoint: Endpoint, head: EndpointResponseHead, request: RequestId) {
         val announces = head.leaving || head.pause != null || head.unreadablePause != null
-        if (announces && isMatched(endpoint, head, request)) {
-            head.unreadablePause?.let { recordUnreadable(endpoint.name, it, request) }
+        if (announces && head.isFrom(endpoint, request)) {
+            head.unreadablePause?.let { unreadable.record(endpoint.name, it, request) }
             head.pause?.let {
                 context.metrics.announcements.labelValues("pause").inc()
                 apply(AvailabilityEvent.PauseRequested(endpoint.incarnation, it), request)
@@ -63,30 +56,9 @@
         }
     }
 
-    private fun isMatched(endpoint: Endpoint, head: EndpointResponseHead, request: RequestId): Boolean =
-        head.requestId == request && head.genuine && !head.wrongEndpoint &&
-            (head.endpoint == null || head.endpoint == endpoint.name)
-
-    private fun recordUnreadable(endpoint: EndpointName, text: String, request: RequestId) {
-        context.metrics.announcements.labelValues("unreadable_pause").inc()
-        val now = context.now()
-        val loggedAt = unreadableLoggedAt[endpoint]
-        val due = loggedAt == null || now >= loggedAt + unreadableLogInterval
-        if (due && (loggedAt != null || unreadableLoggedAt.size < MAX_UNREADABLE_ENDPOINTS)) {
-            unreadableLoggedAt[endpoint] = now
-            context.log.record(
-                "pause_unreadable",
-                "request" to request,
-                "endpoint" to endpoint,
-                "value" to text.take(MAX_LOGGED_CHARACTERS),
-            )
-        }
-    }
-
     /** Drops what is no longer in force; [isRegistered] tells which incarnations have an entry. */
     fun sweep(isRegistered: (Incarnation) -> Boolean) {
-        val now = context.now()
-        unreadableLoggedAt.values.removeIf { now >= it + unreadableLogInterval }
+        unreadable.sweep()
         if (!state.isEmpty) {
             apply(AvailabilityEvent.EntriesSeen(isRegistered), request = null)
         }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -44,6 +44,7 @@
  * @property leaving announces in all responses that the server leaves; it keeps serving
  * @property retryAfter the `Retry-After` value of the refusal with which a request begins a pause for its sender, which
  * lasts for that many seconds; a value that is no such number begins none. Null to begin no more pauses
+ * @property rateLimit the `Server-Limit` value that all responses name; null to name none. Nothing is refused for it
  * @property pauseAfterEvents makes each new stream pause once after this many events, for [pauseMilliseconds]
  * @property pauseMilliseconds how long a stream pauses after [pauseAfterEvents]
  */
@@ -64,6 +65,7 @@
     val crashingPart: String? = null,
     val leaving: Boolean = false,
     val retryAfter: String? = null,
+    val rateLimit: String? = null,
 )
 
 /**
@@ -71,7 +73,7 @@
  *
  * @property sender who sent it, as far as the stand-in can tell
  * @property ran whether it ran
- * @property leaving whether its response announced that the server leaves
+ * @property faults the faults when it arrived, which its response shows
  */
 class ReceivedRequest(
     val id: String,
@@ -79,8 +81,11 @@
     val sender: String,
     val receivedAt: Instant,
     val ran: Boolean,
-    val leaving: Boolean,
-)
+    val faults: PlatformServerFaults,
+) {
+    /** Whether its response announced that the server leaves. */
+    val leaving: Boolean get() = faults.leaving
+}
 
 /**
  * Simulates one of the platform's servers. It streams events in response to requests with a model header, like a model
@@ -105,7 +110,10 @@
     private var faults = PlatformServerFaults()
     private var inFlight = 0
     private val announcement: Map<String, String>
-        get() = if (faults.leaving) mapOf(PlatformHeaders.LEAVING to "1") else emptyMap()
+        get() = listOfNotNull(
+            (PlatformHeaders.LEAVING to "1").takeIf { faults.leaving },
+            faults.rateLimit?.let { PlatformHeaders.RATE_LIMIT to it },
+        ).toMap()
 
     /** The requests received so far, in order of arrival. */
     val receivedRequests: List<ReceivedRequest> get() = requests.toList()
@@ -131,7 +139,7 @@
     suspend fun restart(downtime: Duration = Duration.ofMillis(RESTART_MILLISECONDS)) {
         server.stop()
         delay(downtime.toMillis())
-        faults = faults.copy(leaving = false, retryAfter = null)
+        faults = faults.copy(leaving = false, retryAfter = null, rateLimit = null)
         senderPauses.end()
         server = newServer().apply { start(boundAddress) }
     }
@@ -149,7 +157,14 @@
         val retryAfter = senderPauses.refuse(sender, faults.retryAfter, now)
         val refused = faults.refuse || retryAfter != null
         val misdirected = expected != null && expected != name
-        requests += ReceivedRequest(id, request, sender, now, ran = !misdirected && !refused, leaving = faults.leaving)
+        requests += ReceivedRequest(
+            id,
+            request,
+            sender,
+            now,
+            ran = !misdirected && !refused,
+            faults = faults,
+        )
         when {
             refused -> writer.respond(
                 HttpResponseStatus.SERVICE_UNAVAILABLE,
