Keep the requests to an endpoint that names its rate within it

`EndpointSender` acquires the router's share where the request is written, so that first attempts, retries, resumed streams, returns to silent endpoints and trials of prompt parts all count; without it the attempt is `Withheld`, and another endpoint is chosen without a retry. The selection leaves such endpoints out, so that admission and placement see the room that there is. If nothing else can take the request, it is refused at once with `endpoints_limited` and the time until this router's share allows one. Prompts go to a limited endpoint only if it ranks first for them, unless all others are full: those that come by chance would make it read what others have in their caches.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -7,7 +7,7 @@
     /** No byte of the request was sent. */
     data class NotSent(val reason: String) : AttemptOutcome
 
-    /** No byte was sent, since the endpoint had announced meanwhile that it takes no requests for now, or any more. */
+    /** No byte was sent, since the endpoint had announced meanwhile that it takes no request now, or any more. */
     data object Withheld : AttemptOutcome
 
     /** The endpoint refused the request: it has not run it and never will. */
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -4,6 +4,7 @@
 import comfreypath.coordination.invariant.Invariant
 import comfreypath.coordination.invariant.InvariantMonitor
 import comfreypath.coordination.invariant.InvariantViolation
+import comfreypath.coordination.limits.KnownRouters
 import comfreypath.coordination.overload.DrainAdmission
 import comfreypath.router.claims.ClaimCoordinator
 import comfreypath.router.claims.IdempotentRelay
@@ -88,7 +89,7 @@
     private val store = createStore(context, connector)
     private val view = ClusterView(context)
     private val pool = ConnectionPool(connector, clock)
-    private val endpointTracker = EndpointTracker(context)
+    private val endpointTracker = EndpointTracker(context) { knownRouters }
     private val sender = EndpointSender(context, pool, formats.endpoints, endpointTracker)
     private val gossipOptions = GossipOptions()
     private val peers = PeerGossip(context, view, endpointTracker, { ready }, gossipOptions)
@@ -138,6 +139,8 @@
     /** The number of peers whose status messages arrive. */
     val livePeerCount: Int get() = peers.live.size
 
+    private val knownRouters: KnownRouters get() = peers.knownRouters
+
     private fun stages() = pipeline(
         listOf(
             BodyErrorFilter(view.configuration, ::refuse)::filter,
@@ -189,6 +192,7 @@
         pool.sweep()
         endpointTracker.retain { view.endpoints.isUsable(it) }
         endpointTracker.announcements.sweep(view.endpoints::isUsable)
+        endpointTracker.limits.sweep(view.endpoints::isUsable)
     }
 
     /**
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -15,6 +15,7 @@
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.PeerStatus
 import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.limits.KnownRouters
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.rollout.RolloutReports
@@ -55,6 +56,8 @@
     private val directLoads = DirectLoads()
     private var liveNames: Set<InstanceName> = emptySet()
     private var refreshAt = Instant.MIN
+    private var registeredNames: Set<InstanceName> = emptySet()
+    private val startedAt = context.now()
 
     /** The live peers: those whose status messages arrive. */
     var live: List<Peer> = emptyList()
@@ -73,6 +76,15 @@
             now = context.now(),
         )
 
+    /** The routers that share the request rates of endpoints. */
+    val knownRouters: KnownRouters
+        get() = KnownRouters(
+            self = context.options.name,
+            live = liveNames,
+            registered = registeredNames,
+            settled = context.now() >= startedAt + options.livenessTimeout(registeredNames.size),
+        )
+
     /** Called for each digest received, with the kind's code, the digest and the peer that sent it. */
     var onDigest: (String, KindDigest, PeerAddress) -> Unit = { _, _, _ -> }
 
@@ -109,6 +121,7 @@
     suspend fun start() {
         socket.start()
         view.routers.onChange {
+            registeredNames = view.routers.values.keys.mapTo(HashSet()) { InstanceName(it) }
             step(
                 GossipEvent.Registered(
                     view.routers.values.map { (name, record) ->
@@ -218,7 +231,7 @@
         val names = live.map { it.address.name }.toSet()
         (names - liveNames).forEach { context.log.record("peer_heard", "peer" to it) }
         (liveNames - names).forEach { context.log.record("peer_lost", "peer" to it) }
-        liveNames = names
+        if (names != liveNames) liveNames = names
         directLoads.retain(names)
         live.filter { it.address.name !in directLoads }.forEach { peer ->
             directLoads.put(peer.address.name, peer.status?.inFlight ?: InFlight(), peer.receivedAt ?: context.now())
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -78,6 +78,12 @@
                         log.allOut(route.name, selected, refusal.retryAfter)
                         finish(retryPolicy.giveUp(state), rejection = refusal)
                     }
+                    is SelectionResult.AllLimited -> {
+                        val refusal =
+                            RelayRefusals.allLimited(selected, state.timeLeft(context.now()), request.jitter)
+                        log.allLimited(route.name, selected, refusal.retryAfter)
+                        finish(retryPolicy.giveUp(state), rejection = refusal)
+                    }
                     SelectionResult.NoEndpoint ->
                         finish(retryPolicy.giveUp(state), rejection = held?.let(RelayRefusals::suspectedPart))
                 }
@@ -295,6 +301,13 @@
         RetryAfterPolicy.whenAllAreOut(out.untilFirstReturn, timeLeft, jitter),
     )
 
+    /** The refusal while the endpoints' request rates are used up; the request has not run and will not. */
+    fun allLimited(limited: SelectionResult.AllLimited, timeLeft: Duration, jitter: Double) = Refusal(
+        RefusalCode.ENDPOINTS_LIMITED,
+        "the endpoints take no more requests per second",
+        RetryAfterPolicy.whenAllAreOut(limited.untilNextRequest, timeLeft, jitter),
+    )
+
     /** The refusal of a request with a part that may crash endpoints; the request has not run and will not. */
     fun suspectedPart(held: PartAdmission.Refused) = Refusal(
         RefusalCode.SUSPECTED_PART,
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
@@ -1,9 +1,12 @@
 package comfreypath.router.request
 
 import comfreypath.coordination.availability.Availability
+import comfreypath.coordination.model.EndpointName
+import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
 import comfreypath.router.sending.AnnouncementTracker
+import comfreypath.router.sending.EndpointLimitTracker
 import comfreypath.router.view.ClusterView
 import java.time.Duration
 
@@ -12,10 +15,36 @@
     private val context: RouterContext,
     private val view: ClusterView,
     private val announcements: AnnouncementTracker,
+    private val limits: EndpointLimitTracker,
 ) {
     /** True if [endpoint] may get new requests. */
     fun accepts(endpoint: Endpoint): Boolean = isInService(endpoint) && announcements.of(endpoint).allowsRequests
 
+    /** True if [endpoint] may get a new request now, within the request rate that it has named. */
+    fun admits(endpoint: Endpoint): Boolean = accepts(endpoint) && limits.allows(endpoint)
+
+    /**
+     * Leaves out the [candidates] that limit their rate, but for the one that [rank] prefers of all [registered].
+     *
+     * A limited endpoint is a candidate only now and then. It would have to read the prompts that come to it by chance,
+     * which others have in their caches.
+     */
+    fun withSteadyRate(
+        registered: List<Endpoint>,
+        candidates: List<Candidate>,
+        rank: (EndpointName) -> Long,
+    ): List<Candidate> {
+        if (!limits.anyLimited) return candidates
+        val preferred = registered.filter(::accepts).maxByOrNull { rank(it.name) }?.name
+        return candidates.filter { it.endpoint.name == preferred || !limits.isLimited(it.endpoint) }
+    }
+
+    /** The time until one of [endpoints] may get a request within its rate; null if no rate keeps a request out. */
+    fun allLimited(endpoints: List<Endpoint>): SelectionResult.AllLimited? =
+        endpoints.filter { accepts(it) && !limits.allows(it) }
+            .minOfOrNull { limits.waitTime(it) }
+            ?.let { SelectionResult.AllLimited(it) }
+
     /** True unless the store says that the endpoint gets no requests, as far as this router or its peers know. */
     private fun isInService(endpoint: Endpoint): Boolean = !endpoint.draining &&
         endpoint.dataCentre.text !in view.evacuations.values &&
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -65,6 +65,13 @@
      */
     data class AllOut(val paused: Int, val leaving: Int, val untilFirstReturn: Duration?) : SelectionResult
 
+    /**
+     * The endpoints that could take the request have used up the request rate that they take.
+     *
+     * @property untilNextRequest the time until one of them may get a request of this router
+     */
+    data class AllLimited(val untilNextRequest: Duration) : SelectionResult
+
     /** Admission control refused the request because every endpoint is full. */
     class Overloaded(val admission: Admission.Refused) : SelectionResult
 }
@@ -110,7 +117,7 @@
     private val prefixShares = HashMap<ServiceName, PrefixShares>()
     private val cold = ColdAdmission()
     private val overload = OverloadPolicy()
-    private val gate = EndpointGate(context, view, trackers.endpoints.announcements)
+    private val gate = EndpointGate(context, view, trackers.endpoints.announcements, trackers.endpoints.limits)
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
@@ -136,7 +143,11 @@
         val registered = service?.let { view.endpoints.forService(it) }.orEmpty()
         val others = if (held == null) excluded else registered.mapTo(HashSet()) { it.name } - held
         val candidates = candidates(exchange, registered, others, context.now())
-        val allOut = if (candidates.isEmpty()) gate.allOut(registered) else null
+        val allOut = if (candidates.isEmpty()) {
+            gate.allOut(registered) ?: gate.allLimited(registered.filter { it.name !in others })
+        } else {
+            null
+        }
         val admission = service?.takeIf { held == null }?.let { admission(exchange, it, candidates) }
         return when {
             admission is Admission.Refused -> SelectionResult.Overloaded(admission)
@@ -207,7 +218,7 @@
         excluded: Set<EndpointName>,
         now: Instant,
     ): List<Candidate> {
-        val available = registered.filter { it.name !in excluded && gate.accepts(it) && admitsIfCold(it, now) }
+        val available = registered.filter { it.name !in excluded && gate.admits(it) && admitsIfCold(it, now) }
         val eligible = trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
         val unlimited = trackers.endpoints.withinLimits(eligible)
         val responsive = unlimited.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
@@ -237,7 +248,9 @@
             val even = Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
             Placement.byPrompt(even, key, candidates.meanLoad(), EVEN_BOUND_FACTOR)
         } else {
-            Placement.byPrompt(candidates, key, loads.mean(registered, candidates))
+            val steady = gate.withSteadyRate(registered, candidates) { mix(key, trackers.endpoints.entry(it).nameHash) }
+            val usable = steady.takeIf { some -> some.any { it.load < it.endpoint.slots } } ?: candidates
+            Placement.byPrompt(usable, key, loads.mean(registered, candidates))
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/Refusal.kt
@@ -46,6 +46,9 @@
     /** Every endpoint of the service has asked for a pause or has announced that it leaves. */
     ALL_ENDPOINTS_OUT(status = 503, text = "all_endpoints_out"),
 
+    /** The endpoints that could take the request take no more requests per second. */
+    ENDPOINTS_LIMITED(status = 503, text = "endpoints_limited"),
+
     /** Every endpoint is full, or those that were tried refused the request. */
     OVERLOADED(status = 503, text = "overloaded"),
 
--- a/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
@@ -32,6 +32,18 @@
         )
     }
 
+    /** The request rates of all endpoints that could take the request are used up, so that it is refused. */
+    fun allLimited(route: String, limited: SelectionResult.AllLimited, retryAfter: Duration?) {
+        context.metrics.allEndpointsLimited.labelValues(route).inc()
+        context.log.record(
+            "all_endpoints_limited",
+            "request" to request.id,
+            "route" to route,
+            "nextRequestMs" to limited.untilNextRequest.toMillis(),
+            "retryAfterMs" to retryAfter?.toMillis(),
+        )
+    }
+
     /** An endpoint that had been silent has sent more of the response. */
     fun endpointWentOn(endpoint: EndpointName, silence: Duration) = context.log.record(
         "endpoint_went_on",
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -6,6 +6,7 @@
 import comfreypath.transport.HttpConnection
 import comfreypath.transport.ResponsePart
 import java.time.Duration
+import java.time.Instant
 
 private const val MAX_IDLE_CONNECTIONS = 16
 private const val DEFAULT_IDLE_SECONDS = 3L
@@ -25,6 +26,9 @@
     /** Whether the request is the first one on its connection. */
     val firstOnConnection: Boolean get() = connection.exchanges == 1
 
+    /** When the request was sent; null once its response has begun. */
+    val awaitingSince: Instant? get() = activity.awaitingSince
+
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart {
         activity.recordAwaiting()
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -116,6 +116,7 @@
         !limits.wanted() -> AttemptOutcome.NotSent("the caller has left")
         timeLeft.toMillis() <= 0 -> AttemptOutcome.NotSent("the deadline has passed")
         !limits.accepted() || !tracker.announcements.of(endpoint).allowsRequests -> AttemptOutcome.Withheld
+        !tracker.limits.tryAcquire(endpoint) -> AttemptOutcome.Withheld
         else -> null
     }
 
@@ -190,6 +191,7 @@
     ): SendResult? {
         val head = dialect.read(part.status, part.headers)
         tracker.announcements.observe(plan.endpoint, head, awaited.request)
+        tracker.limits.observe(plan.endpoint, head, awaited.request, sentAt = exchange.awaitingSince ?: Instant.MIN)
         val owner = ResponseOwnership.ownerOf(awaited, head.requestId, head.status, head.notRun)
         if (!ResponseOwnership.keepsConnection(head.requestId)) {
             exchange.retire()
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -4,6 +4,7 @@
 import comfreypath.coordination.health.HealthEvidence
 import comfreypath.coordination.health.HealthState
 import comfreypath.coordination.health.OutlierDetector
+import comfreypath.coordination.limits.KnownRouters
 import comfreypath.coordination.limits.TokenBucket
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.placement.hashOf
@@ -17,14 +18,26 @@
 /** The longest time for which recent attempts are counted. */
 private const val ATTEMPT_WINDOW_SECONDS = 5L
 
-/** Tracks this router's requests at each endpoint, and the endpoint's observed health. */
-class EndpointTracker(private val context: RouterContext) {
+/**
+ * Tracks this router's requests at each endpoint, and the endpoint's observed health.
+ *
+ * @param routers returns the routers that share the request rates which endpoints take
+ */
+class EndpointTracker(
+    private val context: RouterContext,
+    routers: () -> KnownRouters = {
+        KnownRouters(context.options.name, live = emptySet(), registered = emptySet(), settled = true)
+    },
+) {
     private val entries = HashMap<EndpointName, EndpointEntry>()
     private val outlierDetector = OutlierDetector()
 
     /** What endpoints have announced in their responses. */
     val announcements = AnnouncementTracker(context)
 
+    /** The request rates that endpoints have named in their responses. */
+    val limits = EndpointLimitTracker(context, routers)
+
     /** The entry of the endpoint called [name], created on first use. */
     fun entry(name: EndpointName): EndpointEntry =
         entries.getOrPut(name) { EndpointEntry(hashOf(name.text), context.now()) }
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -42,7 +42,7 @@
     /** Attempts at endpoints, by outcome. */
     val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
 
-    /** Announcements of endpoints in their responses, by kind: `leaving`, `pause` or `unreadable_pause`. */
+    /** Announcements by kind: `leaving`, `pause`, `rate_limit`, or one of the last two after `unreadable_`. */
     val announcements: Counter =
         counter("comfreypath_endpoint_announcements_total", "Announcements of endpoints.", "kind")
 
@@ -53,6 +53,13 @@
     val allEndpointsOut: Counter =
         counter("comfreypath_all_endpoints_out_total", "Requests refused as all endpoints pause or leave.", "route")
 
+    /** Endpoints that have named the request rate which they take from all routers. */
+    val endpointsLimited: Gauge = gauge("comfreypath_endpoints_limited", "Endpoints that limit their request rate.")
+
+    /** Requests refused because the rates of all endpoints that could take them were used up, by route. */
+    val allEndpointsLimited: Counter =
+        counter("comfreypath_all_endpoints_limited_total", "Requests refused as endpoints limit their rate.", "route")
+
     /** Calls to the platform's store, by verb, kind and outcome. */
     val storeCalls: Counter = counter("comfreypath_store_calls_total", "Calls to the store.", "verb", "kind", "outcome")
 
--- a/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
@@ -7,10 +7,13 @@
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.model.VersionName
+import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.routing.CallerLimits
 import comfreypath.coordination.routing.Configuration
 import comfreypath.coordination.routing.Destination
 import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.Prompt
+import comfreypath.coordination.routing.PromptPart
 import comfreypath.coordination.routing.Route
 import comfreypath.coordination.routing.RouteKind
 import comfreypath.coordination.routing.Service
@@ -116,7 +119,7 @@
         )
     }
 
-    private fun exchange(id: String = "r1") = CallerExchange(
+    private fun exchange(id: String = "r1", prompt: Prompt? = null) = CallerExchange(
         CallerRequest(
             id = RequestId(id),
             address = RouteAddress("host", "/"),
@@ -126,7 +129,7 @@
             body = ByteArray(0),
             timeBudget = null,
             apiKey = null,
-            prompt = null,
+            prompt = prompt,
             lastEventId = null,
             receivedAt = clock.instant(),
         ),
@@ -148,6 +151,11 @@
     private fun announce(endpoint: Endpoint, change: EndpointResponseHead.() -> EndpointResponseHead) =
         tracker.announcements.observe(endpoint, EndpointResponseHeads.of(RequestId("r0")).change(), RequestId("r0"))
 
+    private fun limit(endpoint: Endpoint, rate: Double) {
+        val head = EndpointResponseHeads.of(RequestId("r0")).copy(rateLimit = rate)
+        tracker.limits.observe(endpoint, head, RequestId("r0"), sentAt = clock.instant())
+    }
+
     private fun selected(): Set<String> = (1..SELECTIONS).mapNotNull {
         val result = selector.select(exchange("r$it"), emptySet())
         (result as? SelectionResult.Selected)?.selection?.endpoint?.name?.text
@@ -212,8 +220,53 @@
         expectThat(selector.select(exchange(), setOf(EndpointName("b")))).isEqualTo(SelectionResult.NoEndpoint)
     }
 
+    @Test
+    fun `an endpoint whose rate is used up gets no request while another one can take it`() {
+        val limited = endpoint("a")
+        register(limited, endpoint("b"))
+        expectThat(selected()).isEqualTo(setOf("a", "b"))
+        limit(limited, rate = 0.5)
+        expectThat(selected()).isEqualTo(setOf("b"))
+        expectThat(selector.select(exchange(), setOf(EndpointName("b")))).isA<SelectionResult.AllLimited>()
+    }
+
+    @Test
+    fun `a prompt does not go to an endpoint with a limit that happens to have a request left`() {
+        val endpoints = listOf("a", "b", "c").map { endpoint(it) }
+        register(*endpoints.toTypedArray())
+        val before = placedPrompts()
+        expectThat(before.toSet()).isEqualTo(setOf("a", "b", "c"))
+        limit(endpoints[0], rate = 1_000.0)
+        Thread.sleep(SETTLE_MILLISECONDS)
+        expectThat(selected()).isEqualTo(setOf("a", "b", "c"))
+        expectThat(placedPrompts()).isEqualTo(before)
+        limit(endpoints[1], rate = 0.1)
+        val moved = placedPrompts().zip(before).filter { (now, then) -> now != then }
+        expectThat(moved.toSet()).isEqualTo(setOf("c" to "b"))
+    }
+
+    /** The endpoints that some prompts are placed at. */
+    private fun placedPrompts(): List<String> = (1L..SELECTIONS).map { id ->
+        val parts = persistentListOf(PromptPart(hashOf("prompt $id"), tokens = 100), PromptPart(id, tokens = 10))
+        val prompt = Prompt("m", promptTokens = 110, maxOutputTokens = 1, parts, expectedOutputTokens = null)
+        val result = selector.select(exchange("p$id", prompt), emptySet())
+        (result as SelectionResult.Selected).selection.endpoint.name.text
+    }
+
+    @Test
+    fun `the refusal while the rates of all endpoints are used up says when one may get a request`() {
+        val endpoints = listOf(endpoint("a"), endpoint("b"), endpoint("c"))
+        register(*endpoints.toTypedArray())
+        limit(endpoints[0], rate = 0.1)
+        limit(endpoints[1], rate = 0.5)
+        announce(endpoints[2]) { copy(leaving = true) }
+        expectThat(selector.select(exchange(), emptySet())).isA<SelectionResult.AllLimited>().get { untilNextRequest }
+            .isGreaterThan(Duration.ofSeconds(1)).isLessThanOrEqualTo(Duration.ofMillis(2_001))
+    }
+
     private companion object {
         const val SELECTIONS = 50
+        const val SETTLE_MILLISECONDS = 20L
     }
 
     private object UnusedWriter : ResponseWriter {
--- a/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/RefusalCodeTest.kt
@@ -19,6 +19,7 @@
             "not_ready" to 503,
             "no_endpoint" to 503,
             "all_endpoints_out" to 503,
+            "endpoints_limited" to 503,
             "overloaded" to 503,
             "suspected_part" to 503,
             "expired" to 503,
--- a/router/src/test/kotlin/comfreypath/router/sending/EndpointSenderTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/sending/EndpointSenderTest.kt
@@ -148,6 +148,18 @@
         expectThat(bytesReceived.get()).isEqualTo(0)
     }
 
+    @Test
+    fun `a request whose endpoint named a rate while the connection was opened is withheld`() {
+        val result = send(LONG) {
+            val head = EndpointResponseHeads.of(RequestId("other")).copy(rateLimit = 1.0)
+            tracker.limits.observe(endpoint, head, RequestId("other"), sentAt = context.now())
+            true
+        }
+        expectThat(result).isA<SendResult.Failed>().get { outcome }.isEqualTo(AttemptOutcome.Withheld)
+        Thread.sleep(SETTLE_MILLISECONDS)
+        expectThat(bytesReceived.get()).isEqualTo(0)
+    }
+
     @Test
     fun `an endpoint is given the time that is left when the request is sent`() {
         send(Duration.ofMillis(SETTLE_MILLISECONDS))
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -7,6 +7,9 @@
 /** Guards against a changed name, label or help text of a metric, on which dashboards and alerts rely. */
 class RouterMetricsExpositionTest {
     private val expected = """
+        # HELP comfreypath_all_endpoints_limited_total Requests refused as endpoints limit their rate.
+        # TYPE comfreypath_all_endpoints_limited_total counter
+        comfreypath_all_endpoints_limited_total{route="r-1"} 14.0
         # HELP comfreypath_all_endpoints_out_total Requests refused as all endpoints pause or leave.
         # TYPE comfreypath_all_endpoints_out_total counter
         comfreypath_all_endpoints_out_total{route="r-1"} 12.0
@@ -31,6 +34,9 @@
         # HELP comfreypath_endpoint_announcements_total Announcements of endpoints.
         # TYPE comfreypath_endpoint_announcements_total counter
         comfreypath_endpoint_announcements_total{kind="pause"} 13.0
+        # HELP comfreypath_endpoints_limited Endpoints that limit their request rate.
+        # TYPE comfreypath_endpoints_limited gauge
+        comfreypath_endpoints_limited 15.0
         # HELP comfreypath_endpoints_out Endpoints out by announcement.
         # TYPE comfreypath_endpoints_out gauge
         comfreypath_endpoints_out{state="leaving"} 1.0
@@ -92,6 +98,8 @@
     fun `metrics have these names, labels and help texts`() {
         val metrics = RouterMetrics()
         metrics.allEndpointsOut.labelValues("r-1").inc(12)
+        metrics.allEndpointsLimited.labelValues("r-1").inc(14)
+        metrics.endpointsLimited.set(15.0)
         metrics.announcements.labelValues("pause").inc(13)
         metrics.endpointsOut.labelValues("leaving").set(1.0)
         metrics.answered.labelValues("streaming", "200").inc()
