--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -67,6 +67,13 @@
      */
     data class AllOut(val paused: Int, val leaving: Int, val untilFirstReturn: Duration?) : SelectionResult
 
+    /**
+     * The endpoints that could take the request have used up the request rate that they take.
+     *
+     * @property untilNextRequest the time until one of them may get a request of this router
+     */
+    data class AllLimited(val untilNextRequest: Duration) : SelectionResult
+
     /** Admission control refused the request because every endpoint is full. */
     class Overloaded(val admission: Admission.Refused) : SelectionResult
 }
@@ -112,7 +119,7 @@
     private val prefixShares = HashMap<ServiceName, PrefixShares>()
     private val cold = ColdAdmission()
     private val overload = OverloadPolicy()
-    private val gate = EndpointGate(context, view, trackers.endpoints.announcements)
+    private val gate = EndpointGate(context, view, trackers.endpoints.announcements, trackers.endpoints.limits)
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val stallLimit = Duration.ofMillis(STALL_LIMIT_MILLISECONDS)
 
@@ -141,7 +148,11 @@
         // A request that has held a slot returns to it.
         val withRoom = if (held == null) trackers.endpoints.withRoom(eligible, peers.names) else eligible
         val candidates = candidates(exchange, withRoom, context.now())
-        val allOut = if (candidates.isEmpty()) gate.allOut(registered) else null
+        val allOut = if (candidates.isEmpty()) {
+            gate.allOut(registered) ?: gate.allLimited(registered.filter { it.name !in others })
+        } else {
+            null
+        }
         val admission = service?.takeIf { held == null }?.let { admission(exchange, it, candidates) }
         return when {
             admission is Admission.Refused -> SelectionResult.Overloaded(admission)
@@ -215,7 +226,7 @@
         excluded: Set<EndpointName>,
         now: Instant,
     ): List<Endpoint> {
-        val available = registered.filter { it.name !in excluded && gate.accepts(it) }
+        val available = registered.filter { it.name !in excluded && gate.admits(it) }
             .filter { admitsIfCold(it, now) }
         return trackers.rollouts.allowed(available, exchange, retry = excluded.isNotEmpty())
     }
@@ -248,7 +259,9 @@
             val even = Placement.withinEvenShare(candidates) { trackers.endpoints.entry(it.endpoint.name).inFlight }
             Placement.byPrompt(even, key, candidates.meanLoad(), EVEN_BOUND_FACTOR)
         } else {
-            Placement.byPrompt(candidates, key, loads.mean(registered, candidates))
+            val steady = gate.withSteadyRate(registered, candidates) { mix(key, trackers.endpoints.entry(it).nameHash) }
+            val usable = steady.takeIf { some -> some.any { it.load < it.endpoint.slots } } ?: candidates
+            Placement.byPrompt(usable, key, loads.mean(registered, candidates))
         }
     }
 
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointExchange.kt
@@ -6,6 +6,7 @@
 import comfreypath.transport.HttpConnection
 import comfreypath.transport.ResponsePart
 import java.time.Duration
+import java.time.Instant
 
 private const val MAX_IDLE_CONNECTIONS = 16
 private const val DEFAULT_IDLE_SECONDS = 3L
@@ -28,6 +29,9 @@
     /** The connection, and which request on it this is. */
     val use: ConnectionUse get() = ConnectionUse(connection.localPort, connection.exchanges)
 
+    /** When the request was sent; null once its response has begun. */
+    val awaitingSince: Instant? get() = activity.awaitingSince
+
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart {
         activity.recordAwaiting()
