Look at the beginning of a stream's continuation only once

Each part of every stream was searched for its first event that is no comment, also when the stream had long been accepted; that is work on the hot path without a use. The function returns at once now. Behaviour is the same: StreamContinuationTest covers it.

--- a/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StreamRelay.kt
@@ -113,8 +113,9 @@
 
     /** Returns false if [events] show that the response does not continue the stream. */
     private fun mayContinueWith(events: List<StreamEvent>): Boolean {
+        if (continues) return true
         val first = events.firstOrNull { !it.isComment }
-        if (!continues && first != null) {
+        if (first != null) {
             continues = first.id != null || format.marksEnd(first)
         }
         return continues || first == null
