--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/LoadProjection.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/LoadProjection.kt
@@ -2,16 +2,9 @@
 
 import java.time.Duration
 import kotlin.math.exp
-import kotlin.math.sqrt
 
 /** The even share at which this router's own sends and the reports of the peers are trusted alike. */
-private const val EVEN_TRUST_SHARE = 2.0
-
-/**
- * Unreported requests of which this router's own sends tell nothing vary more than independent ones would, by this part
- * of the square of their number.
- */
-private const val OVERDISPERSION = 0.1
+private const val EVEN_TRUST_SHARE = 1.0
 private const val MAX_WINDOW_SECONDS = 5L
 
 /**
@@ -28,9 +21,8 @@
  *
  * @property expected requests of all routers
  * @property unreported the part of [expected] that no report has shown yet
- * @property deviation standard deviation of [unreported]
  */
-data class LoadEstimate(val expected: Double, val unreported: Double = 0.0, val deviation: Double = 0.0)
+data class LoadEstimate(val expected: Double, val unreported: Double = 0.0)
 
 /**
  * The reports of the other routers.
@@ -48,7 +40,7 @@
  * report gets requests from all of them until the next one, so that its load grows with the number of routers. What
  * this router has sent lately tells what the others have probably sent since their reports, so that it reacts to a
  * common choice without a message. The fewer its requests, the less they tell; the estimate then assumes that an
- * endpoint gets as many requests as it completes, and is less certain.
+ * endpoint gets as many requests as it completes.
  *
  * @param window the time before now in which [ownRecent] requests were sent
  * @param ownRecent requests that this router has sent to all candidates in the window
@@ -57,7 +49,6 @@
 class LoadProjection(private val reports: LoadReports, window: Duration, ownRecent: Int, candidates: Int) {
     private val evenShare = if (candidates == 0) 0.0 else ownRecent.toDouble() / candidates
     private val ownTrust = evenShare / (EVEN_TRUST_SHARE + evenShare)
-    private val overdispersion = (1 - ownTrust) * OVERDISPERSION
     private val age = reports.age.toMillis().toDouble()
 
     /** The part of the window's requests that a peer has sent since its report, if it sends as this router does. */
@@ -76,8 +67,7 @@
         val replaced = load.atPeers * (1 - remaining)
         val alike = reports.peers * load.ownRecent * sinceReport * residing
         val unreported = (1 - ownTrust) * replaced + ownTrust * alike
-        val deviation = sqrt(unreported * (1 + overdispersion * unreported))
-        return LoadEstimate(reported + unreported, unreported, deviation)
+        return LoadEstimate(reported + unreported, unreported)
     }
 
     companion object {
--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -3,6 +3,7 @@
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.routing.Endpoint
 import kotlin.math.ln
+import kotlin.math.sqrt
 
 private const val LOAD_BOUND_FACTOR = 1.6
 private const val LOAD_BOUND_SLACK = 3.0
@@ -13,6 +14,9 @@
 /** Standard deviations of the unreported requests that are kept below the limit. */
 private const val LIMIT_DEVIATIONS = 2.0
 
+/** Unreported requests vary more than independent ones would, by this part of the square of their number. */
+private const val OVERDISPERSION = 0.25
+
 /** The least weight of an endpoint while loads are leveled, relative to the mean load. */
 private const val MIN_LEVELING_WEIGHT = 0.01
 
@@ -118,7 +122,7 @@
     }
 
     private fun LoadEstimate.isBelow(bound: Double, limit: Double): Boolean =
-        expected < bound && expected < limit - LIMIT_DEVIATIONS * deviation
+        expected < bound && expected < limit - LIMIT_DEVIATIONS * sqrt(unreported * (1 + OVERDISPERSION * unreported))
 
     /**
      * The candidates that this router may send to if its own requests are to be spread evenly.
