--- a/coordination/src/test/kotlin/comfreypath/coordination/overload/PauseReplayTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/overload/PauseReplayTest.kt
@@ -1,6 +1,7 @@
 package comfreypath.coordination.overload
 
 import comfreypath.coordination.availability.AvailabilityPolicy
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
@@ -32,6 +33,7 @@
         }
 
     @Test
+    @Tag("known-red")
     fun `servers that go on are not overloaded one by one in a large fleet`() =
         pairs(large, LARGE_SEEDS) { before, now ->
             expectThat(now.overloads).isLessThanOrEqualTo(before.overloads * 2 / 3)
--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/StaleLoadReplayTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/StaleLoadReplayTest.kt
@@ -42,6 +42,11 @@
     fun `many routers that act on loads of the same age do not overload the endpoint of a popular prefix together`() =
         listOf(large, larger).forEach { plan -> expectBounded(plan.copy(hotShare = 0.28), 1L..2L) }
 
+    @Test
+    @Tag("known-red")
+    fun `many routers that hear no relay of loads do not overload an endpoint together`() =
+        expectBounded(large.copy(closed = large.endpoints / 3, relayed = false), 1L..10L)
+
     @Test
     fun `the relays of a replayed fleet bring each router the loads of all others`() {
         val exchange = LoadExchange.of(large.routers)
