Tell callers to wait for a limited rate only if nothing else keeps them out

A caller whose request a full or paused endpoint had turned away was told "the endpoints take no more requests per second", with a Retry-After of up to 61 s, where another endpoint of the service had named its rate: it could have come back within a second.

Cause: any limited endpoint among those not tried made the refusal one of limits. Now every endpoint that is in service and does not leave must be limited and without a request left.

--- a/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
@@ -39,10 +39,11 @@
         return candidates.filter { it.endpoint.name == preferred || !limits.isLimited(it.endpoint) }
     }
 
-    /** The time until one of [endpoints] may get a request within its rate; null if no rate keeps a request out. */
-    fun allLimited(endpoints: List<Endpoint>): SelectionResult.AllLimited? =
-        endpoints.filter { accepts(it) && !limits.allows(it) }
-            .minOfOrNull { limits.waitTime(it) }
+    /** The time until one of the [registered] endpoints may get a request; null unless their rates keep all of them out. */
+    fun allLimited(registered: List<Endpoint>): SelectionResult.AllLimited? =
+        registered.filter { isInService(it) && announcements.of(it) != Availability.Leaving }
+            .takeIf { staying -> staying.none(limits::allows) }
+            ?.minOfOrNull { limits.waitTime(it) }
             ?.let { SelectionResult.AllLimited(it) }
 
     /** True unless the store says that the endpoint gets no requests, as far as this router or its peers know. */
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -149,7 +149,7 @@
         val withRoom = if (held == null) trackers.endpoints.withRoom(eligible, peers.names) else eligible
         val candidates = candidates(exchange, withRoom, context.now())
         val allOut = if (candidates.isEmpty()) {
-            gate.allOut(registered) ?: gate.allLimited(registered.filter { it.name !in others })
+            gate.allOut(registered) ?: gate.allLimited(registered)
         } else {
             null
         }
