Keep requests at a limited endpoint to which they could not return

Cause: whether an endpoint bars a return asked for leaves, pauses and evacuations only, while the return itself is a request within the rate. It asks for the rate too now, so that the request stays, as it does at an endpoint that pauses.

EndpointSelectorTest "an endpoint whose rate is used up bars the return of its requests" failed before.

--- a/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointGate.kt
@@ -39,7 +39,7 @@
         return candidates.filter { it.endpoint.name == preferred || !limits.isLimited(it.endpoint) }
     }
 
-    /** The time until one of the [registered] endpoints may get a request; null unless their rates keep all of them out. */
+    /** The time until one of the [registered] endpoints may get a request; null unless rates keep all of them out. */
     fun allLimited(registered: List<Endpoint>): SelectionResult.AllLimited? =
         registered.filter { isInService(it) && announcements.of(it) != Availability.Leaving }
             .takeIf { staying -> staying.none(limits::allows) }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -126,7 +126,7 @@
     /** True if the endpoint of an earlier selection is registered but gets no new requests, so none can return. */
     val barsReturn: (Selection) -> Boolean = { selection ->
         val registered = view.endpoints.forService(selection.endpoint.service)
-        registered.any { it.name == selection.endpoint.name && !gate.accepts(it) }
+        registered.any { it.name == selection.endpoint.name && !gate.admits(it) }
     }
 
     /**
--- a/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
@@ -255,6 +255,17 @@
         expectThat(selector.select(exchange(), setOf(EndpointName("b")))).isEqualTo(SelectionResult.NoEndpoint)
     }
 
+    /** A request left it while it was silent, was refused elsewhere, and could not come back. */
+    @Test
+    fun `an endpoint whose rate is used up bars the return of its requests`() {
+        val limited = endpoint("a")
+        register(limited)
+        val selected = selector.select(exchange(), emptySet()) as SelectionResult.Selected
+        expectThat(selector.barsReturn(selected.selection)).isEqualTo(false)
+        limit(limited, rate = 0.1)
+        expectThat(selector.barsReturn(selected.selection)).isEqualTo(true)
+    }
+
     @Test
     fun `an endpoint that pauses is not counted as limited`() {
         val endpoints = listOf(endpoint("a"), endpoint("b"))
