Start with the defaults of bounds that a deployment leaves out

The same holds for each other bound, of which those with a unit become a bare unit.

Change: a blank value of a setting means that it is not set, so that its default applies or a required setting is named as missing; the template leaves a value out together with its unit. At the start, one line (bounds_defaulted) names the bounds that the operators have not set, with their defaults. A value that is there and wrong is still an error.

--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RawSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RawSettings.kt
@@ -35,7 +35,11 @@
     )
 
     /** Returns the text of [setting], or its default if it is not set. */
-    fun rawValue(setting: Setting<*>): String = values[setting.name] ?: setting.default.orEmpty()
+    fun rawValue(setting: Setting<*>): String =
+        if (isSet(setting)) values.getValue(setting.name) else setting.default.orEmpty()
+
+    /** True if [setting] has a value; one that is blank has none, since templates leave it so for an absent field. */
+    fun isSet(setting: Setting<*>): Boolean = !values[setting.name].isNullOrBlank()
 
     companion object {
         /** Environment variable with the path of the settings file. */
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
@@ -129,6 +129,21 @@
         rolloutSlack,
     )
 
+    private val boundSettings: List<Setting<*>> = listOf(
+        grace,
+        configurationBound,
+        revocationBound,
+        retryShare,
+        retrySlack,
+        retryWindow,
+        rolloutShare,
+        rolloutSlack,
+    )
+
+    /** The operators' bounds that [raw] does not set and whose defaults apply, by setting name. */
+    private fun defaultedBounds(raw: RawSettings): Map<String, String> =
+        boundSettings.filterNot { raw.isSet(it) }.associate { it.name to it.default.orEmpty() }
+
     /** Returns the interface that [raw] selects; [CallerInterface.OPENAI] if the value is invalid. */
     fun callerInterface(raw: RawSettings): CallerInterface = raw.valueOf(callerInterface, CallerInterface.OPENAI)
 
@@ -162,6 +177,7 @@
             timeouts = defaultTimeouts.copy(grace = raw.valueOf(grace, defaultTimeouts.grace)),
             traceCollector = raw.valueOf(traceCollector, "").ifEmpty { null },
             bounds = bounds(raw),
+            defaultedBounds = defaultedBounds(raw),
         )
         return raw.firstError?.let { Err(it) } ?: Ok(options)
     }
--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/Setting.kt
@@ -33,9 +33,11 @@
     /** The environment variable. */
     val envVariable: String get() = ENVIRONMENT_PREFIX + name.uppercase().replace('-', '_')
 
-    /** Parses [text], or the default if it is null; the error names the setting, the text and the valid values. */
+    /**
+     * Parses [text], or the default if it is null or blank; the error names the setting, the text and the valid values.
+     */
     fun parse(text: String?): Result<T, String> {
-        val effective = text ?: default
+        val effective = text?.takeUnless { it.isBlank() } ?: default
         val value = effective?.let(parser)
         return when {
             effective == null -> Err("$flag ($envVariable) is not set; expected $allowedValues")
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -159,6 +159,9 @@
     suspend fun start() {
         val options = context.options
         log.record("starting", "callers" to options.callerAddress, "store" to options.objectStore)
+        if (options.defaultedBounds.isNotEmpty()) {
+            log.record("bounds_defaulted", "bounds" to options.defaultedBounds)
+        }
         evidence.start()
         viewUpdater.startEssentials()
         callerServer.start(options.callerAddress)
--- a/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
@@ -39,6 +39,7 @@
  * @property maxConnections the maximum number of open connections from callers
  * @property requestMemoryBytes the maximum size of all bodies of requests together that the router holds
  * @property responseMemoryBytes the maximum size of all bodies of responses together that the router holds
+ * @property defaultedBounds the bounds that the operators have not set and their defaults, for the log
  */
 data class RouterOptions(
     val name: InstanceName,
@@ -56,6 +57,7 @@
     val timeouts: RouterTimeouts = RouterTimeouts(),
     val bounds: ServiceBounds = ServiceBounds(),
     val claims: ClaimShardOptions = ClaimShardOptions(),
+    val defaultedBounds: Map<String, String> = emptyMap(),
 )
 
 /**
