Fetch a prompt's cache from a run of an endpoint that responds

Cause: the source was the preferred endpoint by name. A crashed endpoint stays registered for seconds and was named by every router, and one that came back empty under its name counted as having everything, so that it fetched nothing.

Change: CacheSources decides by runs of endpoints: the highest-ranked run that responds and is settled, or the run to which this router last sent the prefix. The attempt's log line has the shared prefix.

--- a/router/src/main/kotlin/comfreypath/router/request/EndpointPlacement.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointPlacement.kt
@@ -1,7 +1,10 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.availability.incarnation
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.placement.CacheHolder
+import comfreypath.coordination.placement.CacheSources
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.Placement
 import comfreypath.coordination.placement.PrefixShares
@@ -12,10 +15,14 @@
 import comfreypath.router.RouterContext
 import comfreypath.router.sending.EndpointLoads
 import comfreypath.router.sending.Trackers
+import java.time.Duration
 
 /** The endpoints of a version that bears all requests must not exceed their mean by much. */
 private const val EVEN_BOUND_FACTOR = 1.0
 
+/** An endpoint that has answered nothing for so long is not named as the source of a cache. */
+private const val SOURCE_STALL_LIMIT_MILLISECONDS = 500L
+
 /**
  * The endpoint that a request is placed at.
  *
@@ -32,6 +39,7 @@
 ) {
     private val promptEndpoints = PromptEndpointCache()
     private val prefixShares = HashMap<ServiceName, PrefixShares>()
+    private val sourceStallLimit = Duration.ofMillis(SOURCE_STALL_LIMIT_MILLISECONDS)
 
     /** Places [exchange] at one of the [candidates], which are among the [registered] endpoints; null without any. */
     fun place(
@@ -52,7 +60,7 @@
     /** Records that an attempt of [exchange] at [endpoint] begins. */
     fun recordAttempt(exchange: CallerExchange, endpoint: Endpoint) {
         exchange.request.sharedPrefixId?.let {
-            promptEndpoints.record(it, endpoint.name)
+            promptEndpoints.record(it, endpoint.incarnation)
             prefixShares.getOrPut(endpoint.service) { PrefixShares() }.record(it, context.now())
         }
     }
@@ -77,22 +85,18 @@
         }
     }
 
-    /** An endpoint that probably has the prompt prefix cached; null if [chosen] probably has it, or if none has. */
     private fun cacheSource(registered: List<Endpoint>, chosen: Endpoint, prefixId: Long): Endpoint? {
         val now = context.now()
-        val recent = promptEndpoints.recentEndpoints(prefixId)
-        val preferred = registered.filter { trackers.endpoints.entry(it.name).cacheSettled(now) }
-            .maxByOrNull { rank(prefixId, it.name) }
-        val cached = chosen.name in recent || chosen.name == preferred?.name
-        return if (cached) {
-            null
-        } else {
-            recent.firstNotNullOfOrNull { name -> registered.firstOrNull { it.name == name } } ?: preferred
+        val responsive = registered.mapNotNull { endpoint ->
+            trackers.endpoints.entry(endpoint.name)
+                .takeIf { !it.health.isEjected(now) && !it.stalled(now, sourceStallLimit) }
+                ?.let { CacheHolder(endpoint, it.nameHash, it.cacheSettled(endpoint, now)) }
         }
+        return CacheSources.choose(prefixId, chosen, responsive, promptEndpoints.recentEndpoints(prefixId))
     }
 
     private fun rank(key: Long, name: EndpointName): Long = mix(key, trackers.endpoints.entry(name).nameHash)
 }
 
 /** The ID of the longest prefix of the prompt that other requests may share; null if there is none. */
-private val CallerRequest.sharedPrefixId: Long? get() = prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId
+internal val CallerRequest.sharedPrefixId: Long? get() = prompt?.parts?.dropLast(1)?.lastOrNull()?.prefixId
--- a/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
@@ -10,6 +10,8 @@
 import java.time.Instant
 import kotlin.math.roundToInt
 
+private const val HEX_RADIX = 16
+
 /**
  * An attempt that has ended, for the log.
  *
@@ -43,6 +45,7 @@
             "endpointsAgeMs" to selection.basis.endpointsAge?.toMillis(),
             "configuration" to selection.basis.configuration,
             "configurationAgeMs" to selection.basis.configurationAge?.toMillis(),
+            "sharedPrefix" to request.sharedPrefixId?.toULong()?.toString(HEX_RADIX),
             "cacheSource" to selection.cacheSource?.name,
             "connectionPort" to ended.connection?.localPort,
             "connectionRequests" to ended.connection?.requestNumber,
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -100,6 +100,8 @@
     /** The send times of the requests whose response has not begun, the oldest first. */
     private val pendingSendTimes = ArrayDeque<Instant>()
     private var lastResponseAt = Instant.EPOCH
+    private var lastRun: Endpoint? = null
+    private var runKnownSince = knownSince
 
     /** When a part of a response from the endpoint last arrived. */
     var lastHeardAt: Instant = Instant.EPOCH
@@ -154,8 +156,18 @@
         return Duration.between(oldest, now) > limit && lastResponseAt < oldest
     }
 
-    /** True once the endpoint has been known long enough to have cached the prompts placed on it. */
-    fun cacheSettled(now: Instant): Boolean = Duration.between(knownSince, now) > CACHE_SETTLING_TIME
+    /** True once this run of the [endpoint] has been known long enough to have cached the prompts placed on it. */
+    fun cacheSettled(endpoint: Endpoint, now: Instant): Boolean {
+        val last = lastRun
+        if (last == null || !last.isSameRunAs(endpoint)) {
+            runKnownSince = if (last == null) knownSince else now
+            lastRun = endpoint
+        }
+        return Duration.between(runKnownSince, now) > CACHE_SETTLING_TIME
+    }
+
+    private fun Endpoint.isSameRunAs(other: Endpoint) =
+        startedAt == other.startedAt && host == other.host && port == other.port
 
     private companion object {
         val CACHE_SETTLING_TIME: Duration = Duration.ofSeconds(CACHE_SETTLING_SECONDS)
