Notice a lost response while a short request still has time

Cause: a silent endpoint was left after a second at the earliest, whatever time the request has.

Change: a request with a whole response waits for half of the time that it had when it was sent, but not less than its latency target. Streams wait as before.

Measured: StallPolicyTest: a request with 1,016 ms leaves after 508 ms; before, after 1,000 ms, too late for another attempt.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
@@ -7,6 +7,9 @@
 private const val MIN_STALL_TIMEOUT_MILLISECONDS = 1_000L
 private const val RECHECK_MILLISECONDS = 100L
 
+/** A short request waits for a silent endpoint for this part of its time, as a divisor; another has the rest. */
+private const val SHORT_REQUEST_DIVISOR = 2L
+
 /** Whether another endpoint can take a request now. */
 enum class Alternative {
     /** Another endpoint and a retry have been reserved. */
@@ -56,6 +59,18 @@
     fun timeout(latencyTarget: Duration): Duration =
         maxOf(minTimeout, latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
 
+    /**
+     * How long a request waits for an endpoint that has been silent since [silentSince].
+     *
+     * A whole response whose loss would otherwise be noticed only when the caller's time is almost over is awaited for
+     * half of that time.
+     */
+    private fun timeout(state: RetryState, silentSince: Instant): Duration {
+        val usual = timeout(state.route.latencyTarget)
+        val half = Duration.between(silentSince, state.deadline).dividedBy(SHORT_REQUEST_DIVISOR)
+        return if (state.route.streaming) usual else minOf(usual, maxOf(half, state.route.latencyTarget))
+    }
+
     /**
      * Returns the next step of an attempt.
      *
@@ -68,7 +83,7 @@
         now: Instant,
         reserve: () -> Alternative,
     ): StallDecision {
-        val timeout = timeout(state.route.latencyTarget)
+        val timeout = silentSince?.let { timeout(state, it) } ?: timeout(state.route.latencyTarget)
         val silence = silentSince?.let { Duration.between(it, now) } ?: Duration.ZERO
         return when {
             silence < timeout -> StallDecision.KeepWaiting(timeout - silence, null)
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
@@ -81,6 +81,18 @@
         expectThat(reasons).containsExactly(WaitReason.NO_TIME_LEFT)
     }
 
+    @Test
+    fun `a lost response is noticed while a request with little time can still be answered elsewhere`() {
+        val short = testRoute().copy(latencyTarget = Duration.ofMillis(196), timeout = Duration.ofMillis(1_016))
+        val leftAt = replay(Duration.ofSeconds(9), state(short)) { Alternative.RESERVED }.first
+        expectThat(leftAt).isEqualTo(Duration.ofMillis(508))
+        val long = replay(Duration.ofSeconds(9), state(testRoute())) { Alternative.RESERVED }.first
+        expectThat(long).isEqualTo(Duration.ofMillis(1_000))
+        val late = short.copy(latencyTarget = Duration.ofMillis(600))
+        expectThat(replay(Duration.ofSeconds(9), state(late)) { Alternative.RESERVED }.first)
+            .isEqualTo(Duration.ofMillis(600))
+    }
+
     @Test
     fun `an endpoint that is not awaited does not count as silent`() {
         val decision = StallPolicy.decide(state(), null, sentAt.plusSeconds(3)) { error("reserved for nothing") }
