Take endpoints of one data centre that fail together as one outage

Cause: outlier detection knows single endpoints. Besides, an attempt that was not sent because its caller had left or its time was over ejected its endpoint as unreachable.

Attempts that end for the caller's sake show nothing about the endpoint.

--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -4,8 +4,13 @@
 
 /** The result of sending a request to an endpoint. It determines whether the request may have run. */
 sealed interface AttemptOutcome {
-    /** No byte of the request was sent. */
-    data class NotSent(val reason: String) : AttemptOutcome
+    /**
+     * No byte of the request was sent.
+     *
+     * @property endpointFailed false if the reason lies with the caller or its time, so that it shows nothing about the
+     * endpoint
+     */
+    data class NotSent(val reason: String, val endpointFailed: Boolean = true) : AttemptOutcome
 
     /** No byte was sent, since the endpoint had announced meanwhile that it takes no request now, or any more. */
     data object Withheld : AttemptOutcome
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -28,6 +28,7 @@
 import comfreypath.router.request.StartFilter
 import comfreypath.router.request.pipeline
 import comfreypath.router.rollout.VersionRollouts
+import comfreypath.router.sending.DataCentreTracker
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.sending.RetryBudgets
@@ -102,6 +103,7 @@
         progress = ServiceProgress(),
         rollouts = rollouts,
         evidence = evidence,
+        dataCentres = DataCentreTracker(context),
     )
     private val stalenessLimits = StalenessLimits { context.options.bounds }
     private val viewUpdater = ClusterViewUpdater(context, store, view, peers, stalenessLimits, gossipOptions)
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -144,6 +144,7 @@
     }
 
     private fun recordAttempt(selection: Selection, outcome: AttemptOutcome, decision: RetryDecision) {
+        if (outcome.unanswered) dependencies.trackers.dataCentres.recordUnanswered(selection.endpoint)
         outcome.toHealthEvidence()?.let { dependencies.trackers.endpoints.observe(selection.endpoint.name, it) }
         context.metrics.attempts.labelValues(outcome.javaClass.simpleName).inc()
         val action = decision.javaClass.simpleName
--- a/router/src/main/kotlin/comfreypath/router/request/EligibleEndpoints.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EligibleEndpoints.kt
@@ -38,7 +38,8 @@
     /** Those of the [eligible] endpoints that respond soundly, or all of them if none does, with their loads. */
     fun candidates(exchange: CallerExchange, eligible: List<Endpoint>): List<Candidate> {
         val now = context.now()
-        val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
+        val responsive = trackers.dataCentres.usable(eligible)
+            .filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
             .ifEmpty { eligible }
         val usable = HealthFilter.usable(responsive, now) { trackers.endpoints.entry(it.name).health }
         val holdTime = usable.firstOrNull()
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -94,6 +94,7 @@
         val entry = trackers.endpoints.entry(selection.endpoint.name)
         entry.coldBucket = entry.coldBucket?.acquire(context.now())
         entry.recordAttempt(context.now())
+        trackers.dataCentres.recordAttempt(selection.endpoint)
         placement.recordAttempt(exchange, selection.endpoint)
         trackers.rollouts.recordSent(selection.endpoint, exchange.route)
         exchange.offered = true
--- a/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/OutcomeEvidence.kt
@@ -15,7 +15,8 @@
     is AttemptOutcome.Answered ->
         if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) HealthEvidence.ANSWERED else HealthEvidence.FAILED
     is AttemptOutcome.NotRun -> HealthEvidence.FULL
-    is AttemptOutcome.NotSent, AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
+    is AttemptOutcome.NotSent -> HealthEvidence.UNREACHABLE.takeIf { endpointFailed }
+    AttemptOutcome.WrongEndpoint -> HealthEvidence.UNREACHABLE
     AttemptOutcome.Withheld -> null
     is AttemptOutcome.Unknown -> when (reason) {
         UnknownReason.TIMED_OUT, UnknownReason.STALLED -> HealthEvidence.SILENT
@@ -33,6 +34,14 @@
     }
 }
 
+/** True if the endpoint could not be reached, or sent nothing, so that its data centre may be out. */
+internal val AttemptOutcome.unanswered: Boolean
+    get() = when (this) {
+        is AttemptOutcome.NotSent -> endpointFailed
+        is AttemptOutcome.Unknown -> reason == UnknownReason.STALLED || reason == UnknownReason.TIMED_OUT
+        else -> false
+    }
+
 /** What this outcome of an attempt shows about the version of its endpoint; null if nothing. */
 internal fun AttemptOutcome.toAttemptResult(): AttemptResult? = when (this) {
     is AttemptOutcome.Answered ->
--- a/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
@@ -32,6 +32,7 @@
         val name = selection.endpoint.name
         return ResponseActivity(context::now) { silence ->
             trackers.endpoints.entry(name).recordHeard(context.now())
+            trackers.dataCentres.recordHeard(selection.endpoint)
             if (silence >= timeout) {
                 log.endpointWentOn(name, silence)
                 trackers.endpoints.observe(name, HealthEvidence.ANSWERED)
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -85,7 +85,7 @@
         val idleLimit = idleLimit(plan, limits)
         val connectTimeout = minOf(context.options.timeouts.connect, Duration.between(context.now(), deadline))
         if (connectTimeout.toMillis() <= 0) {
-            return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed"))
+            return SendResult.Failed(AttemptOutcome.NotSent("the deadline has passed", endpointFailed = false))
         }
         return pool.acquire(address, idleLimit, connectTimeout, request.id.text).fold(
             success = { acquired ->
@@ -113,8 +113,8 @@
 
     /** Why a request that has a connection is not sent after all; null if it is. */
     private fun obstacle(endpoint: Endpoint, limits: SendLimits, timeLeft: Duration): AttemptOutcome? = when {
-        !limits.wanted() -> AttemptOutcome.NotSent("the caller has left")
-        timeLeft.toMillis() <= 0 -> AttemptOutcome.NotSent("the deadline has passed")
+        !limits.wanted() -> AttemptOutcome.NotSent("the caller has left", endpointFailed = false)
+        timeLeft.toMillis() <= 0 -> AttemptOutcome.NotSent("the deadline has passed", endpointFailed = false)
         !limits.accepted() || !tracker.announcements.of(endpoint).allowsRequests -> AttemptOutcome.Withheld
         !tracker.limits.tryAcquire(endpoint) -> AttemptOutcome.Withheld
         else -> null
--- a/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/Trackers.kt
@@ -12,6 +12,7 @@
  * @property endpoints requests in flight at each endpoint, and its observed health
  * @property retries retry budgets by service
  * @property evidence the evidence on prompt parts that crash endpoints
+ * @property dataCentres the data centres that this router can't reach
  * @property progress requests in progress at each service, and their expected duration
  * @property rollouts the versions in use during rollouts, and how they respond
  */
@@ -21,6 +22,7 @@
     val progress: ServiceProgress,
     val rollouts: VersionRollouts,
     val evidence: AttemptEvidence,
+    val dataCentres: DataCentreTracker,
 ) {
     /** Records at [now] that an attempt on [route] which has begun at [endpoint] has sent nothing. */
     fun recordWithheld(endpoint: Endpoint, route: Route, now: Instant) {
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -60,6 +60,10 @@
     val allEndpointsLimited: Counter =
         counter("comfreypath_all_endpoints_limited_total", "Requests refused as endpoints limit their rate.", "route")
 
+    /** Data centres that were left out since none of their endpoints responded. */
+    val dataCentreOutages: Counter =
+        counter("comfreypath_data_centre_outages_total", "Data centres left out as unreachable.", "data_centre")
+
     /** Calls to the platform's store, by verb, kind and outcome. */
     val storeCalls: Counter = counter("comfreypath_store_calls_total", "Calls to the store.", "verb", "kind", "outcome")
 
--- a/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/AttemptTargetsTest.kt
@@ -23,6 +23,7 @@
 import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.rollout.VersionRollouts
+import comfreypath.router.sending.DataCentreTracker
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.sending.RetryBudgets
@@ -60,6 +61,7 @@
         progress = ServiceProgress(),
         rollouts = VersionRollouts(context, ScriptedStore(), view, peers),
         evidence = AttemptEvidence(context, connector, tracker, view.endpoints, peers).also { it.start() },
+        dataCentres = DataCentreTracker(context),
     )
     private val dialect = object : EndpointDialect {
         override fun encode(request: CallerRequest, plan: SendPlan): RequestHead = error("nothing is sent")
--- a/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/EndpointSelectorTest.kt
@@ -23,6 +23,7 @@
 import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.rollout.VersionRollouts
+import comfreypath.router.sending.DataCentreTracker
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.sending.RetryBudgets
 import comfreypath.router.sending.ServiceProgress
@@ -61,6 +62,7 @@
         progress = ServiceProgress(),
         rollouts = VersionRollouts(context, ScriptedStore(), view, peers),
         evidence = AttemptEvidence(context, HttpConnector(context.loop), tracker, view.endpoints, peers),
+        dataCentres = DataCentreTracker(context),
     )
     private val selector = EndpointSelector(context, view, trackers, peers)
     private val service = ServiceName("plain")
--- a/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/request/LeaveDuringConnectTest.kt
@@ -19,6 +19,7 @@
 import comfreypath.router.evidence.AttemptEvidence
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.rollout.VersionRollouts
+import comfreypath.router.sending.DataCentreTracker
 import comfreypath.router.sending.EndpointSender
 import comfreypath.router.sending.EndpointTracker
 import comfreypath.router.sending.RetryBudgets
@@ -74,6 +75,7 @@
         progress = ServiceProgress(),
         rollouts = VersionRollouts(context, ScriptedStore(), view, peers),
         evidence = AttemptEvidence(context, connector, tracker, view.endpoints, peers),
+        dataCentres = DataCentreTracker(context),
     )
     private val sent = mutableListOf<EndpointName>()
     private val dialect = object : EndpointDialect {
