Estimate the pace and the room of endpoints from what they tell

Servers that share their machines tell in a fourth figure how long work takes there now. The dialect took any load with another number of figures than three for unreadable, took x,3,0,8 for a load, and no decision read what endpoints tell.

The figure is parsed strictly; unusable ones leave the other three, are logged once a minute for each endpoint and counted (unreadable_load). For each endpoint a Kalman filter keeps the level, its age and spread, the mean and the share of slow time; knowledge fades towards the mean. Placement, stall timers, the outlier detector and the judge of rollouts read it. The endpoint's own count is projected to now like the reports of routers and joined with them, weighed by the requests that neither has shown yet; a refusal as full counts at once. Endpoints that tell three figures or none have no such state and are served as before.

--- a/coordination/src/main/kotlin/comfreypath/coordination/health/OutlierDetector.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/health/OutlierDetector.kt
@@ -39,8 +39,12 @@
  * some too.
  */
 class OutlierDetector(private val options: HealthOptions = HealthOptions()) {
-    /** The state after an attempt that ended at [now] with [evidence]. */
-    fun after(state: HealthState, evidence: HealthEvidence, now: Instant): HealthState {
+    /**
+     * The state after an attempt that ended at [now] with [evidence].
+     *
+     * @param patience how many times longer than usual a sound endpoint may take now; it may be silent as often
+     */
+    fun after(state: HealthState, evidence: HealthEvidence, now: Instant, patience: Double = 1.0): HealthState {
         val decayed = decayed(state, now)
         return when (evidence) {
             HealthEvidence.ANSWERED -> answered(decayed.copy(outcomes = decayed.outcomes + 1))
@@ -51,8 +55,10 @@
                 ejectedIfFailing(next, now, conclusive = next.consecutiveLosses >= options.consecutiveLosses)
             }
             HealthEvidence.SILENT -> {
-                val next = withFailure(decayed).copy(consecutiveSilences = decayed.consecutiveSilences + 1)
-                ejectedIfFailing(next, now, conclusive = next.consecutiveSilences >= options.consecutiveSilences)
+                val next = withFailure(decayed, weight = 1 / patience)
+                    .copy(consecutiveSilences = decayed.consecutiveSilences + 1)
+                val conclusive = next.consecutiveSilences >= (options.consecutiveSilences * patience).toInt()
+                ejectedIfFailing(next, now, conclusive)
             }
             HealthEvidence.UNREACHABLE -> ejectedIfFailing(withFailure(decayed), now, conclusive = true)
         }
@@ -65,8 +71,8 @@
         ejectedUntil = null,
     )
 
-    private fun withFailure(state: HealthState) =
-        state.copy(failures = state.failures + 1, outcomes = state.outcomes + 1)
+    private fun withFailure(state: HealthState, weight: Double = 1.0) =
+        state.copy(failures = state.failures + weight, outcomes = state.outcomes + 1)
 
     private fun latest(first: Instant?, second: Instant): Instant = if (first == null) second else maxOf(first, second)
 
--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/LoadProjection.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/LoadProjection.kt
@@ -49,23 +49,35 @@
 class LoadProjection(private val reports: LoadReports, window: Duration, ownRecent: Int, candidates: Int) {
     private val evenShare = if (candidates == 0) 0.0 else ownRecent.toDouble() / candidates
     private val ownTrust = evenShare / (EVEN_TRUST_SHARE + evenShare)
-    private val age = reports.age.toMillis().toDouble()
+    private val windowMilliseconds = window.toMillis().toDouble()
+    private val holdMilliseconds = reports.holdTime?.toMillis()?.takeIf { it > 0 }?.toDouble()
+    private val sinceReports = Since(reports.age)
 
-    /** The part of the window's requests that a peer has sent since its report, if it sends as this router does. */
-    private val sinceReport = if (window.isZero) 0.0 else age / window.toMillis()
-    private val ageInHoldTimes = reports.holdTime?.toMillis()?.takeIf { it > 0 }?.let { age / it }
+    /** What has happened to requests since a report of the given age. */
+    private inner class Since(age: Duration) {
+        private val milliseconds = age.toMillis().toDouble()
 
-    /** The share of the reported requests that are still in flight. */
-    private val remaining = ageInHoldTimes?.let { exp(-it) } ?: 1.0
+        /** The part of the window's requests that a peer has sent since, if it sends as this router does. */
+        val sent = if (windowMilliseconds == 0.0) 0.0 else milliseconds / windowMilliseconds
+        private val ageInHoldTimes = holdMilliseconds?.let { milliseconds / it }
 
-    /** The share of the requests sent since the reports that are still in flight. */
-    private val residing = ageInHoldTimes?.takeIf { it > 0 }?.let { (1 - remaining) / it } ?: 1.0
+        /** The share of the reported requests that are still in flight. */
+        val remaining = ageInHoldTimes?.let { exp(-it) } ?: 1.0
+
+        /** The share of the requests sent since that are still in flight. */
+        val residing = ageInHoldTimes?.takeIf { it > 0 }?.let { (1 - remaining) / it } ?: 1.0
+    }
 
     /** The estimated load of an endpoint. */
-    fun of(load: ReportedLoad): LoadEstimate {
-        val reported = load.own + load.atPeers * remaining
-        val replaced = load.atPeers * (1 - remaining)
-        val alike = reports.peers * load.ownRecent * sinceReport * residing
+    fun of(load: ReportedLoad): LoadEstimate = estimate(load, sinceReports)
+
+    /** The estimated load of an endpoint of which [ReportedLoad.atPeers] has another [age] than the reports. */
+    fun of(load: ReportedLoad, age: Duration): LoadEstimate = estimate(load, Since(age))
+
+    private fun estimate(load: ReportedLoad, since: Since): LoadEstimate {
+        val reported = load.own + load.atPeers * since.remaining
+        val replaced = load.atPeers * (1 - since.remaining)
+        val alike = reports.peers * load.ownRecent * since.sent * since.residing
         val unreported = (1 - ownTrust) * replaced + ownTrust * alike
         return LoadEstimate(reported + unreported, unreported)
     }
--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -20,6 +20,12 @@
 /** The least weight of an endpoint while loads are leveled, relative to the mean load. */
 private const val MIN_LEVELING_WEIGHT = 0.01
 
+/** The number of candidates, or a little more, of which the mean pace is taken. */
+private const val MEAN_PACE_SAMPLE = 64
+
+/** The pace, relative to the mean, from which an endpoint is no longer preferred for its data centre. */
+private const val MAX_LOCAL_PACE = 1.5
+
 private const val COPY_SALT = 0x636f706965L
 
 /**
@@ -37,7 +43,26 @@
     val estimate: LoadEstimate = LoadEstimate(load.toDouble()),
     val pace: Double = 1.0,
     val tellsPace: Boolean = false,
-)
+) {
+    /** The load relative to the slots; an endpoint that is slower than [meanPace] counts as more loaded. */
+    internal fun pacedLoad(meanPace: Double): Double =
+        (estimate.expected / endpoint.slots).let { if (tellsPace) pace / meanPace * (1 + it) - 1 else it }
+
+    /** True if the load is below [bound], which an endpoint that is slower than [meanPace] reaches earlier. */
+    internal fun isPacedBelow(bound: Double, meanPace: Double): Boolean =
+        estimate.expected * maxOf(1.0, pace / meanPace) < bound
+}
+
+/** The mean pace of the candidates, of up to some tens of them; 1 if the list is empty. */
+internal fun List<Candidate>.meanPace(): Double {
+    var sum = 0.0
+    var count = 0
+    for (index in indices step maxOf(1, size / MEAN_PACE_SAMPLE)) {
+        sum += this[index].pace
+        count += 1
+    }
+    return if (count == 0) 1.0 else sum / count
+}
 
 /** The mean estimated load of the candidates; 0 if the list is empty. */
 fun List<Candidate>.meanLoad(): Double {
@@ -96,12 +121,14 @@
         candidates: List<Candidate>,
         prefixId: Long,
     ): Candidate? {
+        val meanPace = candidates.meanPace()
         var best: Candidate? = null
         var bestRank = Long.MIN_VALUE
         for (index in candidates.indices) {
             val candidate = candidates[index]
             val rank = mix(prefixId, candidate.nameHash)
-            if (rank >= bestRank && candidate.estimate.isBelow(bound, limit)) {
+            val below = rank >= bestRank && candidate.isPacedBelow(bound, meanPace)
+            if (below && candidate.estimate.isSafelyBelow(limit)) {
                 best = candidate
                 bestRank = rank
             }
@@ -125,8 +152,8 @@
         }
     }
 
-    private fun LoadEstimate.isBelow(bound: Double, limit: Double): Boolean =
-        expected < bound && expected < limit - LIMIT_DEVIATIONS * sqrt(unreported * (1 + OVERDISPERSION * unreported))
+    private fun LoadEstimate.isSafelyBelow(limit: Double): Boolean =
+        expected < limit - LIMIT_DEVIATIONS * sqrt(unreported * (1 + OVERDISPERSION * unreported))
 
     /**
      * The candidates that this router may send to if its own requests are to be spread evenly.
@@ -145,14 +172,16 @@
      * The endpoint for a request without a shared prompt prefix, or null if there are no candidates.
      *
      * Prefers the least loaded endpoint in [localDataCentre] with less than half of its slots in use, else takes the
-     * least loaded of all, relative to its slots. [salt] breaks ties.
+     * least loaded of all, relative to its slots. [salt] breaks ties. Slow endpoints count as more loaded.
      */
     fun byLoad(candidates: List<Candidate>, localDataCentre: DataCentreName, salt: Long): Candidate? {
+        val meanPace = candidates.meanPace()
         val ordered = candidates.sortedWith(
-            compareBy({ it.estimate.expected / it.endpoint.slots }, { mix(salt, it.nameHash) })
+            compareBy({ it.pacedLoad(meanPace) }, { mix(salt, it.nameHash) })
         )
         return ordered.firstOrNull {
-            it.endpoint.dataCentre == localDataCentre && it.estimate.expected < it.endpoint.slots / 2
+            it.endpoint.dataCentre == localDataCentre && it.estimate.expected < it.endpoint.slots / 2 &&
+                it.pace < MAX_LOCAL_PACE * meanPace
         }
             ?: ordered.firstOrNull()
     }
--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
@@ -52,23 +52,31 @@
     private val minTimeout: Duration = Duration.ofMillis(MIN_STALL_TIMEOUT_MILLISECONDS)
     private val recheckInterval: Duration = Duration.ofMillis(RECHECK_MILLISECONDS)
 
-    /** How long an endpoint may send nothing before a request with this latency target may leave it. */
-    fun timeout(latencyTarget: Duration): Duration =
-        maxOf(minTimeout, latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
+    /**
+     * How long an endpoint may send nothing before a request with this latency target may leave it.
+     *
+     * @param patience how many times longer than usual a sound endpoint may take now
+     */
+    fun timeout(latencyTarget: Duration, patience: Double = 1.0): Duration {
+        val usual = maxOf(minTimeout, latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
+        return if (patience > 1.0) Duration.ofMillis((usual.toMillis() * patience).toLong()) else usual
+    }
 
     /**
      * Returns the next step of an attempt.
      *
      * @param silentSince since when the response has been awaited; null while nothing is awaited from the endpoint
+     * @param patience how many times longer than usual the endpoint, if sound, may take now
      * @param reserve reserves another endpoint and a retry; called only if they are needed
      */
     fun decide(
         state: RetryState,
         silentSince: Instant?,
         now: Instant,
+        patience: Double = 1.0,
         reserve: () -> Alternative,
     ): StallDecision {
-        val timeout = timeout(state.route.latencyTarget)
+        val timeout = timeout(state.route.latencyTarget, patience)
         val silence = silentSince?.let { Duration.between(it, now) } ?: Duration.ZERO
         return when {
             silence < timeout -> StallDecision.KeepWaiting(timeout - silence, null)
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -198,6 +198,7 @@
         endpointTracker.retain { view.endpoints.isUsable(it) }
         endpointTracker.announcements.sweep(view.endpoints::isUsable)
         endpointTracker.limits.sweep(view.endpoints::isUsable)
+        endpointTracker.told.sweep()
     }
 
     /**
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptLoop.kt
@@ -102,7 +102,9 @@
         val sentAt = context.now()
         dependencies.trackers.progress.recordStart(service, exchange.team)
         entry.inFlight += 1
-        val measured = dependencies.trackers.rollouts.probe(selection.endpoint, exchange).also { probe = it }
+        val measured = dependencies.trackers.rollouts
+            .probe(selection.endpoint, exchange, selection.pace ?: 1.0)
+            .also { probe = it }
         var outcome: AttemptOutcome? = null
         try {
             val activity = stallWatch.activity(selection)
@@ -193,6 +195,7 @@
         return when (sent) {
             is SendResult.Failed -> CompletedAttempt(sent.outcome)
             is SendResult.Responding -> {
+                sent.head.load?.pace?.let { probe?.recordMachinePace(it) }
                 val reason = sent.head.unusableReason(route)
                 if (reason == null) {
                     readResponse(selection, sent)
--- a/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/AttemptTargets.kt
@@ -90,7 +90,7 @@
         val service = current.endpoint.service
         val held = exchange.firstByteAt == null && trackers.evidence.mustNotRepeat(exchange.request)
         // An endpoint that only takes no new requests completes what it has, unless it is dead.
-        val mayGoOn = silence < StallPolicy.timeout(exchange.route.latencyTarget).multipliedBy(MAX_STALL_TIMEOUTS)
+        val mayGoOn = silence < silenceLimit(current).multipliedBy(MAX_STALL_TIMEOUTS)
         if (held || (mayGoOn && dependencies.selector.barsReturn(current))) {
             return Alternative.NO_ENDPOINT
         }
@@ -111,7 +111,11 @@
 
     private fun responsive(selection: Selection): Boolean {
         val entry = trackers.endpoints.entry(selection.endpoint.name)
-        val silenceLimit = StallPolicy.timeout(exchange.route.latencyTarget)
-        return !entry.health.isEjected(context.now()) && !entry.stalled(context.now(), silenceLimit)
+        return !entry.health.isEjected(context.now()) && !entry.stalled(context.now(), silenceLimit(selection))
+    }
+
+    private fun silenceLimit(selection: Selection): Duration {
+        val patience = trackers.endpoints.entry(selection.endpoint.name).patience(context.now())
+        return StallPolicy.timeout(exchange.route.latencyTarget, patience)
     }
 }
--- a/router/src/main/kotlin/comfreypath/router/request/EligibleEndpoints.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EligibleEndpoints.kt
@@ -7,6 +7,7 @@
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.router.RouterContext
+import comfreypath.router.sending.EndpointEntry
 import comfreypath.router.sending.EndpointLoads
 import comfreypath.router.sending.Trackers
 import comfreypath.router.view.ClusterView
@@ -38,7 +39,7 @@
     /** Those of the [eligible] endpoints that respond soundly, or all of them if none does, with their loads. */
     fun candidates(exchange: CallerExchange, eligible: List<Endpoint>): List<Candidate> {
         val now = context.now()
-        val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalled(now, stallLimit) }
+        val responsive = eligible.filterNot { trackers.endpoints.entry(it.name).stalledBeyondPace(now) }
             .ifEmpty { eligible }
         val usable = HealthFilter.usable(responsive, now) { trackers.endpoints.entry(it.name).health }
         val holdTime = usable.firstOrNull()
@@ -46,6 +47,12 @@
         return loads.candidates(usable, holdTime, now)
     }
 
+    private fun EndpointEntry.stalledBeyondPace(now: Instant): Boolean {
+        val patience = patience(now)
+        val limit = if (patience > 1.0) Duration.ofMillis((stallLimit.toMillis() * patience).toLong()) else stallLimit
+        return stalled(now, limit)
+    }
+
     /** True if the endpoint of an earlier [selection] is still registered and accepts requests. */
     fun accepts(selection: Selection): Boolean = selection.endpoint.incarnation.let { selected ->
         view.endpoints.forService(selected.service).any { it.incarnation == selected && gate.accepts(it) }
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointDialect.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.request
 
+import comfreypath.coordination.endpointload.EndpointReport
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.RequestId
 import comfreypath.coordination.model.TeamName
@@ -46,7 +47,8 @@
  * @property unmarkedRefusal true for a status that tells callers "not run" without [notRun]
  * @property wrongEndpoint true when another endpoint than the requested one uses the address now
  * @property endpoint the endpoint that responded; null if not reported
- * @property load the load of the endpoint; null if not reported
+ * @property load the load of the endpoint, and how long work takes there; null if not reported
+ * @property unreadableLoad the text of a load of which some figure is not usable; null if there is none
  * @property idleTimeout how long the endpoint keeps an idle connection open; null if not reported
  * @property leaving true when the endpoint announces that it leaves
  * @property pause how long the endpoint, which refuses the request, asks for no others; null if it does not
@@ -62,7 +64,7 @@
     val notRun: Boolean,
     val wrongEndpoint: Boolean,
     val endpoint: EndpointName?,
-    val load: ReportedLoad?,
+    val load: EndpointReport?,
     val idleTimeout: Duration?,
     val retryAfter: Duration?,
     val contentLength: Long?,
@@ -73,11 +75,9 @@
     val unmarkedRefusal: Boolean = false,
     val rateLimit: Double? = null,
     val unreadableRateLimit: String? = null,
+    val unreadableLoad: String? = null,
 ) {
     /** True if [sender] has sent this head in response to [request], and not a copy or another endpoint's. */
     fun isFrom(sender: Endpoint, request: RequestId): Boolean =
         requestId == request && genuine && !wrongEndpoint && (endpoint == null || endpoint == sender.name)
 }
-
-/** The load that an endpoint reports: requests running, requests waiting, and how many it can run at once. */
-data class ReportedLoad(val running: Int, val waiting: Int, val slots: Int)
--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -85,7 +85,14 @@
         val selected = place.candidate
         val basis = view.basis(candidates.size, peers.loadsAge, context.now())
         return SelectionResult.Selected(
-            Selection(selected.endpoint, selected.load, selected.estimate.expected, place.cacheSource, basis),
+            Selection(
+                endpoint = selected.endpoint,
+                load = selected.load,
+                expectedLoad = selected.estimate.expected,
+                pace = selected.pace.takeIf { selected.tellsPace },
+                cacheSource = place.cacheSource,
+                basis = basis,
+            ),
         )
     }
 
--- a/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/RelayLog.kt
@@ -8,6 +8,7 @@
 import comfreypath.router.sending.ConnectionUse
 import java.time.Duration
 import java.time.Instant
+import java.util.Locale
 import kotlin.math.roundToInt
 
 /**
@@ -38,6 +39,7 @@
             "version" to selection.endpoint.version,
             "load" to selection.load,
             "expectedLoad" to selection.expectedLoad.roundToInt(),
+            "pace" to selection.pace?.let { "%.2f".format(Locale.ROOT, it) },
             "loadsAgeMs" to selection.basis.loadsAge.toMillis(),
             "candidates" to selection.basis.candidates,
             "endpointsAgeMs" to selection.basis.endpointsAge?.toMillis(),
--- a/router/src/main/kotlin/comfreypath/router/request/SelectionResult.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/SelectionResult.kt
@@ -11,6 +11,7 @@
  * @property expectedLoad the estimate of the load at the time of the selection
  * @property cacheSource another endpoint, from which to fetch the prompt's cache; null if none is needed or known
  * @property basis the information that the selection is based on
+ * @property pace the expected duration of work at the endpoint, relative to usual; null if the endpoint tells none
  */
 class Selection(
     val endpoint: Endpoint,
@@ -18,6 +19,7 @@
     val expectedLoad: Double,
     val cacheSource: Endpoint?,
     val basis: SelectionBasis,
+    val pace: Double? = null,
 )
 
 /** The outcome of selecting an endpoint for an attempt. */
--- a/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
@@ -25,14 +25,15 @@
 ) {
     private val context = dependencies.context
     private val trackers = dependencies.trackers
-    private val timeout = StallPolicy.timeout(exchange.route.latencyTarget)
+    private val latencyTarget = exchange.route.latencyTarget
 
     /** Tracks the response of the endpoint in [selection]. */
     fun activity(selection: Selection): ResponseActivity {
         val name = selection.endpoint.name
         return ResponseActivity(context::now) { silence ->
-            trackers.endpoints.entry(name).recordHeard(context.now())
-            if (silence >= timeout) {
+            val entry = trackers.endpoints.entry(name)
+            entry.recordHeard(context.now())
+            if (silence >= StallPolicy.timeout(latencyTarget, entry.patience(context.now()))) {
                 log.endpointWentOn(name, silence)
                 trackers.endpoints.observe(name, HealthEvidence.ANSWERED)
             }
@@ -71,7 +72,8 @@
         while (true) {
             val silentSince = activity.awaitingSince
             val now = context.now()
-            val decision = StallPolicy.decide(state, silentSince, now) {
+            val patience = trackers.endpoints.entry(selection.endpoint.name).patience(now)
+            val decision = StallPolicy.decide(state, silentSince, now, patience) {
                 targets.reserve(selection, Duration.between(silentSince ?: now, now))
             }
             if (decision !is StallDecision.KeepWaiting) return
--- a/router/src/main/kotlin/comfreypath/router/rollout/AttemptProbe.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/AttemptProbe.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.rollout
 
+import comfreypath.coordination.endpointload.PaceEstimator
 import comfreypath.coordination.rollout.AttemptResult
 import comfreypath.coordination.rollout.AttemptSample
 import comfreypath.coordination.verdict.AttemptOutcome
@@ -16,11 +17,13 @@
  *
  * @param blank the sample without measurements
  * @param timed false if the endpoint is known to be slow because it has just started
+ * @param expectedPace how long work was expected to take at the endpoint, relative to usual
  */
 class AttemptProbe(
     private val clock: InstantSource,
     private val blank: AttemptSample,
     private val timed: Boolean,
+    expectedPace: Double = 1.0,
     private val report: (AttemptSample) -> Unit,
 ) {
     private val sentAt: Instant = clock.instant()
@@ -29,6 +32,14 @@
     private var eventsAtFirst = 0
     private var timesReported = false
 
+    /** Times are divided by it, so that a version is not blamed for a slow machine. */
+    private var machinePace = PaceEstimator.bounded(expectedPace)
+
+    /** Records how long work takes at the endpoint, relative to usual, as its response to this attempt tells. */
+    fun recordMachinePace(pace: Double) {
+        machinePace = PaceEstimator.bounded(pace)
+    }
+
     /** Records that [count] events of a stream have arrived. */
     fun recordEvents(count: Int) {
         events += count
@@ -59,12 +70,16 @@
         val intervals = events - eventsAtFirst + if (partial) 1 else 0
         return if (timed) {
             sample.copy(
-                firstEvent = Duration.between(sentAt, first ?: now),
-                pace = first?.takeIf { intervals > 0 }?.let { Duration.between(it, now).dividedBy(intervals.toLong()) },
+                firstEvent = Duration.between(sentAt, first ?: now).atUsualPace(),
+                pace = first?.takeIf { intervals > 0 }
+                    ?.let { Duration.between(it, now).dividedBy(intervals.toLong()).atUsualPace() },
                 partial = partial,
             )
         } else {
             sample
         }
     }
+
+    private fun Duration.atUsualPace(): Duration =
+        if (machinePace == 1.0) this else Duration.ofNanos((toNanos() / machinePace).toLong())
 }
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -126,8 +126,8 @@
         }
     }
 
-    /** Measures an attempt of [exchange] at [endpoint]. */
-    fun probe(endpoint: Endpoint, exchange: CallerExchange): AttemptProbe = AttemptProbe(
+    /** Measures an attempt of [exchange] at [endpoint], where work should take [pace] times as long as usual. */
+    fun probe(endpoint: Endpoint, exchange: CallerExchange, pace: Double = 1.0): AttemptProbe = AttemptProbe(
         clock = context.clock,
         blank = AttemptSample(
             route = "${endpoint.service} ${exchange.route.name}",
@@ -136,6 +136,7 @@
             hasPrompt = exchange.request.prompt != null,
         ),
         timed = !view.endpoints.isCold(endpoint, context.now()),
+        expectedPace = pace,
     ) { record(it, endpoint, exchange.route) }
 
     private fun record(sample: AttemptSample, endpoint: Endpoint, route: Route) {
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointLoads.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointLoads.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.sending
 
+import comfreypath.coordination.endpointload.RoomEstimator
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.LoadProjection
 import comfreypath.coordination.placement.LoadReports
@@ -9,6 +10,7 @@
 import comfreypath.router.request.LivePeers
 import java.time.Duration
 import java.time.Instant
+import kotlin.math.roundToInt
 
 /** Adds up the requests in flight at endpoints from this router and its live peers. */
 class EndpointLoads(private val tracker: EndpointTracker, private val peers: LivePeers) {
@@ -36,7 +38,17 @@
         return eligible.mapIndexed { index, endpoint ->
             val entry = entries[index]
             val load = ReportedLoad(entry.inFlight, peers.inFlight(entry.nameHash), recent[index])
-            Candidate(endpoint, entry.nameHash, load.own + load.atPeers, projection.of(load))
+            val told = entry.told?.takeIf { it.isCurrent(now) }
+            val room = told?.room?.takeIf { RoomEstimator.isRecent(it, holdTime, now) }
+            val estimate = if (room == null) projection.of(load) else RoomEstimator.join(room, load, projection, now)
+            Candidate(
+                endpoint = endpoint,
+                nameHash = entry.nameHash,
+                load = if (room == null) load.own + load.atPeers else estimate.expected.roundToInt(),
+                estimate = estimate,
+                pace = told?.pace?.during(holdTime, now) ?: 1.0,
+                tellsPace = told != null,
+            )
         }
     }
 
@@ -45,7 +57,7 @@
         val others = if (registered.size == candidates.size) {
             0
         } else {
-            registered.sumOf { of(it) } - candidates.sumOf { it.load }
+            registered.sumOf { of(it) } - candidates.sumOf { if (it.tellsPace) of(it.endpoint) else it.load }
         }
         val count = registered.size
         return if (count == 0) 0.0 else (candidates.meanLoad() * candidates.size + others) / count
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointSender.kt
@@ -193,6 +193,7 @@
         val head = dialect.read(part.status, part.headers)
         tracker.announcements.observe(plan.endpoint, head, awaited.request)
         tracker.limits.observe(plan.endpoint, head, awaited.request, sentAt = exchange.awaitingSince ?: Instant.MIN)
+        tracker.told.observe(plan.endpoint, tracker.entry(plan.endpoint.name), head, awaited.request)
         val owner = ResponseOwnership.ownerOf(awaited, head.requestId, head.status, head.notRun)
         if (!ResponseOwnership.keepsConnection(head.requestId)) {
             exchange.retire()
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.sending
 
+import comfreypath.coordination.endpointload.ToldLoad
 import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.health.HealthEvidence
 import comfreypath.coordination.health.HealthState
@@ -39,6 +40,9 @@
     /** The request rates that endpoints have named in their responses. */
     val limits = EndpointLimitTracker(context, routers)
 
+    /** What endpoints tell of their load and of how long work takes there. */
+    val told = EndpointLoadTracker(context)
+
     /** The entry of the endpoint called [name], created on first use. */
     fun entry(name: EndpointName): EndpointEntry =
         entries.getOrPut(name) { EndpointEntry(hashOf(name.text), context.now()) }
@@ -52,7 +56,7 @@
         val entry = entry(name)
         val now = context.now()
         val before = entry.health
-        entry.health = outlierDetector.after(before, evidence, now)
+        entry.health = outlierDetector.after(before, evidence, now, entry.patience(now))
         if (entry.health.ejections > before.ejections) {
             context.log.record(
                 "endpoint_left_out",
@@ -91,6 +95,9 @@
     /** The health derived from this router's attempts. */
     var health = HealthState()
 
+    /** What the endpoint has told of its load and pace; null if it tells no pace. */
+    var told: ToldLoad? = null
+
     /** Limits this router's requests while the endpoint is cold; null if it is not, or if only others may send. */
     var coldBucket: TokenBucket? = null
 
@@ -148,6 +155,9 @@
     /** True if a response has begun after [at]. */
     fun respondedSince(at: Instant): Boolean = lastResponseAt > at
 
+    /** How many times longer than usual the endpoint may be silent at [now], by the pace that it tells. */
+    fun patience(now: Instant): Double = told?.patience(now) ?: 1.0
+
     /** True if no response has begun since the oldest pending request was sent, more than [limit] ago. */
     fun stalled(now: Instant, limit: Duration): Boolean {
         val oldest = pendingSendTimes.firstOrNull() ?: return false
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -42,7 +42,10 @@
     /** Attempts at endpoints, by outcome. */
     val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
 
-    /** Announcements by kind: `leaving`, `pause`, `rate_limit`, or one of the last two after `unreadable_`. */
+    /**
+     * Announcements by kind: `leaving`, `pause`, `rate_limit`, one of the last two or `load` after `unreadable_`, or
+     * `pace_jump` for a duration of work that is far from the expected one.
+     */
     val announcements: Counter =
         counter("comfreypath_endpoint_announcements_total", "Announcements of endpoints.", "kind")
 
