--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/StallPolicy.kt
@@ -46,6 +46,14 @@
     NO_RETRY_LEFT,
 }
 
+/**
+ * What is known of a silent endpoint besides its silence.
+ *
+ * @property patience how many times longer than usual the endpoint, if sound, may take now
+ * @property dataCentreOut true if none of the endpoints of its data centre responds
+ */
+data class Suspicion(val patience: Double = 1.0, val dataCentreOut: Boolean = false)
+
 /**
  * Decides when a request leaves a silent endpoint.
  *
@@ -55,35 +63,49 @@
     private val minTimeout: Duration = Duration.ofMillis(MIN_STALL_TIMEOUT_MILLISECONDS)
     private val recheckInterval: Duration = Duration.ofMillis(RECHECK_MILLISECONDS)
 
-    /** How long an endpoint may send nothing before a request with this latency target may leave it. */
-    fun timeout(latencyTarget: Duration): Duration =
-        maxOf(minTimeout, latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
+    /**
+     * How long an endpoint may send nothing before a request with this latency target may leave it.
+     *
+     * @param patience how many times longer than usual a sound endpoint may take now
+     */
+    fun timeout(latencyTarget: Duration, patience: Double = 1.0): Duration {
+        val usual = maxOf(minTimeout, latencyTarget.multipliedBy(STALL_TIMEOUT_FACTOR))
+        return if (patience > 1.0) Duration.ofMillis((usual.toMillis() * patience).toLong()) else usual
+    }
 
     /**
      * How long a request waits for an endpoint that has been silent since [silentSince].
      *
      * A whole response whose loss would otherwise be noticed only when the caller's time is almost over is awaited for
-     * half of that time.
+     * half of that time. In a data centre that is out, nothing is awaited for longer than the latency target.
      */
-    private fun timeout(state: RetryState, silentSince: Instant): Duration {
-        val usual = timeout(state.route.latencyTarget)
+    private fun timeout(state: RetryState, silentSince: Instant, suspicion: Suspicion): Duration {
+        val target = state.route.latencyTarget
+        val usual = timeout(target, suspicion.patience)
         val half = Duration.between(silentSince, state.deadline).dividedBy(SHORT_REQUEST_DIVISOR)
-        return if (state.route.streaming) usual else minOf(usual, maxOf(half, state.route.latencyTarget))
+        return when {
+            suspicion.dataCentreOut -> minOf(usual, target)
+            state.route.streaming -> usual
+            else -> minOf(usual, maxOf(half, target))
+        }
     }
 
     /**
      * Returns the next step of an attempt.
      *
      * @param silentSince since when the response has been awaited; null while nothing is awaited from the endpoint
+     * @param suspicion what else is known of the endpoint
      * @param reserve reserves another endpoint and a retry; called only if they are needed
      */
     fun decide(
         state: RetryState,
         silentSince: Instant?,
         now: Instant,
+        suspicion: Suspicion = Suspicion(),
         reserve: () -> Alternative,
     ): StallDecision {
-        val timeout = silentSince?.let { timeout(state, it) } ?: timeout(state.route.latencyTarget)
+        val timeout = silentSince?.let { timeout(state, it, suspicion) }
+            ?: timeout(state.route.latencyTarget, suspicion.patience)
         val silence = silentSince?.let { Duration.between(it, now) } ?: Duration.ZERO
         return when {
             silence < timeout -> StallDecision.KeepWaiting(timeout - silence, null)
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
@@ -93,6 +93,16 @@
             .isEqualTo(Duration.ofMillis(600))
     }
 
+    @Test
+    fun `a request does not wait long for an endpoint whose data centre is out`() {
+        val out = Suspicion(dataCentreOut = true)
+        val decisions = listOf(299L, 300L).map { silence ->
+            StallPolicy.decide(state(), sentAt, sentAt.plusMillis(silence), out) { Alternative.RESERVED }
+        }
+        expectThat(decisions)
+            .containsExactly(StallDecision.KeepWaiting(Duration.ofMillis(1), null), StallDecision.MoveOn)
+    }
+
     @Test
     fun `an endpoint that is not awaited does not count as silent`() {
         val decision = StallPolicy.decide(state(), null, sentAt.plusSeconds(3)) { error("reserved for nothing") }
--- a/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/StallWatch.kt
@@ -5,6 +5,7 @@
 import comfreypath.coordination.verdict.RetryState
 import comfreypath.coordination.verdict.StallDecision
 import comfreypath.coordination.verdict.StallPolicy
+import comfreypath.coordination.verdict.Suspicion
 import comfreypath.coordination.verdict.UnknownReason
 import comfreypath.coordination.verdict.WaitReason
 import comfreypath.router.sending.ResponseActivity
@@ -25,15 +26,16 @@
 ) {
     private val context = dependencies.context
     private val trackers = dependencies.trackers
-    private val timeout = StallPolicy.timeout(exchange.route.latencyTarget)
+    private val latencyTarget = exchange.route.latencyTarget
 
     /** Tracks the response of the endpoint in [selection]. */
     fun activity(selection: Selection): ResponseActivity {
         val name = selection.endpoint.name
         return ResponseActivity(context::now) { silence ->
-            trackers.endpoints.entry(name).recordHeard(context.now())
+            val entry = trackers.endpoints.entry(name)
+            entry.recordHeard(context.now())
             trackers.dataCentres.recordHeard(selection.endpoint)
-            if (silence >= timeout) {
+            if (silence >= StallPolicy.timeout(latencyTarget, entry.patience(context.now()))) {
                 log.endpointWentOn(name, silence)
                 trackers.endpoints.observe(name, HealthEvidence.ANSWERED)
             }
@@ -72,7 +74,11 @@
         while (true) {
             val silentSince = activity.awaitingSince
             val now = context.now()
-            val decision = StallPolicy.decide(state, silentSince, now) {
+            val suspicion = Suspicion(
+                patience = trackers.endpoints.entry(selection.endpoint.name).patience(now),
+                dataCentreOut = trackers.dataCentres.isOut(selection.endpoint),
+            )
+            val decision = StallPolicy.decide(state, silentSince, now, suspicion) {
                 targets.reserve(selection, Duration.between(silentSince ?: now, now))
             }
             if (decision !is StallDecision.KeepWaiting) return
--- a/router/src/main/kotlin/comfreypath/router/sending/DataCentreTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/DataCentreTracker.kt
@@ -46,6 +46,9 @@
         }
     }
 
+    /** True if the data centre of [endpoint] can't be reached. */
+    fun isOut(endpoint: Endpoint): Boolean = states[endpoint.dataCentre]?.isOut(context.now()) == true
+
     /** Leaves out the [endpoints] of data centres that are out, unless too few would remain. */
     fun usable(endpoints: List<Endpoint>): List<Endpoint> {
         val now = context.now()
