--- a/coordination/src/test/kotlin/comfreypath/coordination/placement/CacheSourcesTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/placement/CacheSourcesTest.kt
@@ -2,11 +2,8 @@
 
 import comfreypath.coordination.availability.Incarnation
 import comfreypath.coordination.availability.incarnation
-import comfreypath.coordination.model.DataCentreName
-import comfreypath.coordination.model.EndpointName
-import comfreypath.coordination.model.ServiceName
-import comfreypath.coordination.model.VersionName
 import comfreypath.coordination.routing.Endpoint
+import comfreypath.coordination.routing.testEndpoint
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -17,7 +14,7 @@
 private const val PREFIX = 77L
 
 class CacheSourcesTest {
-    private val endpoints = List(4) { endpoint(it) }.sortedByDescending { mix(PREFIX, hashOf(it.name.text)) }
+    private val endpoints = List(4) { testEndpoint(it) }.sortedByDescending { mix(PREFIX, hashOf(it.name.text)) }
     private val first = endpoints[0]
     private val second = endpoints[1]
 
@@ -84,20 +81,7 @@
     }
 }
 
-internal typealias SourceRule = (Long, Endpoint, List<CacheHolder>, List<Incarnation>) -> Endpoint?
-
-internal fun endpoint(number: Int, startedAt: Long = 1L) = Endpoint(
-    name = EndpointName("engine-$number"),
-    service = ServiceName("model"),
-    host = "10.0.0.$number",
-    port = 80,
-    dataCentre = DataCentreName("south"),
-    version = VersionName("v1"),
-    slots = 32,
-    draining = false,
-    coldMilliseconds = 0,
-    startedAt = startedAt,
-)
+private typealias SourceRule = (Long, Endpoint, List<CacheHolder>, List<Incarnation>) -> Endpoint?
 
 /** A quarter of the endpoints crash, and come back empty under their names; callers return to their prompts. */
 private class CrashReplay(private val rule: SourceRule) {
@@ -108,7 +92,7 @@
 
     /** The number of requests whose prompt was read although a running endpoint had it. */
     fun readAgain(): Int {
-        val all = List(ENDPOINTS) { endpoint(it) }
+        val all = List(ENDPOINTS) { testEndpoint(it) }
         val crashed = all.take(ENDPOINTS / 4).toSet()
         val back = all.map { if (it in crashed) it.copy(startedAt = 2) else it }
         var count = 0
--- a/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
+++ b/router/src/main/kotlin/comfreypath/router/sending/EndpointTracker.kt
@@ -176,11 +176,11 @@
         return Duration.between(runKnownSince, now) > CACHE_SETTLING_TIME
     }
 
-    private fun Endpoint.isSameRunAs(other: Endpoint) =
-        startedAt == other.startedAt && host == other.host && port == other.port
-
     private companion object {
         val CACHE_SETTLING_TIME: Duration = Duration.ofSeconds(CACHE_SETTLING_SECONDS)
         val ATTEMPT_WINDOW: Duration = Duration.ofSeconds(ATTEMPT_WINDOW_SECONDS)
     }
 }
+
+private fun Endpoint.isSameRunAs(other: Endpoint) =
+    startedAt == other.startedAt && host == other.host && port == other.port
