Run the passes of a background task in one coroutine

Cause: each pass of each periodic task, some 90 a second in an idle router, was launched as a coroutine of its own and joined, in code that is interpreted at first. Now a pass only starts a new coroutine after one that failed; a failure is logged and counted as before, and the next pass still starts after the pause, which a test shows.

--- a/router/src/main/kotlin/comfreypath/router/BackgroundTasks.kt
+++ b/router/src/main/kotlin/comfreypath/router/BackgroundTasks.kt
@@ -20,7 +20,9 @@
 ): Job = scope.launch {
     var done = false
     while (!done) {
-        val running = scope.launch(CoroutineName(name)) { done = pass() }
+        val running = scope.launch(CoroutineName(name)) {
+            while (!done) done = pass()
+        }
         running.join()
         if (running.isCancelled) {
             delay(pauseAfterFailure())
