--- a/daemon/src/main/kotlin/comfreypath/daemon/command/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/WarmUpCommand.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import java.io.File
+import java.util.jar.JarFile
 import kotlin.concurrent.thread
 
 private const val ROUNDS = 20
@@ -22,8 +23,19 @@
 private const val START_TIMEOUT_MILLISECONDS = 10_000L
 private const val START_POLL_MILLISECONDS = 100L
 
+/** The libraries of which a router may load any class. */
+private val archivedLibraries = listOf(
+    "coordination-",
+    "kotlin-result-",
+    "kotlinx-",
+    "platform-",
+    "router-",
+    "transport-",
+)
+private const val CLASS_SUFFIX = ".class"
+
 /**
- * Sends requests of every kind through a small fleet in this process.
+ * Sends requests of every kind through a small fleet in this process, and loads the classes of what rarely happens.
  *
  * The build runs it once to record the classes that a router loads. With a class data sharing archive of these
  * classes, a router starts several times faster.
@@ -49,9 +61,27 @@
         fleet.stopRouter(fleet.routers.last())
         runRouterCommand(fleet, caller)
         fleet.stop()
+        loadArchivedLibraries()
         0
     }
 
+    /**
+     * Loads the classes for what does not happen in the small fleet, such as snapshots of peers and relays of loads.
+     * Classes that lack what an optional dependency would bring are left out.
+     */
+    private fun loadArchivedLibraries() {
+        val folder = File(WarmUpCommand::class.java.protectionDomain.codeSource.location.path).resolveSibling("library")
+        folder.listFiles().orEmpty()
+            .filter { file -> archivedLibraries.any { file.name.startsWith(it) } }
+            .flatMap { file -> JarFile(file).use { jar -> jar.entries().toList().map { it.name } } }
+            .filter { it.endsWith(CLASS_SUFFIX) && '-' !in it }
+            .forEach { entry ->
+                runCatching {
+                    Class.forName(entry.removeSuffix(CLASS_SUFFIX).replace('/', '.'), false, javaClass.classLoader)
+                }
+            }
+    }
+
     /** Starts a router as the command line does, so that the archive has the classes of its start too. */
     private suspend fun runRouterCommand(fleet: PlatformFleet, caller: PlatformCaller) {
         val address = freeAddress()
