Log that the class archive is not used

Cause: an archive that does not match its jars is passed over without a word, and a start takes twice as long. The router compares its command line with the files that it has mapped, after the start, and logs class_archive_unused once.

--- a/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/command/RouterCommand.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
+import comfreypath.daemon.ClassArchive
 import comfreypath.daemon.EXIT_USAGE
 import comfreypath.daemon.settings.CallerInterface
 import comfreypath.daemon.settings.RawSettings
@@ -109,6 +110,7 @@
         loop.terminationFuture().addListener { exitAfterFatalError() }
         return try {
             runBlocking { starting.await() }
+            ClassArchive.unused()?.let(router::reportUnusedArchive)
             CoroutineScope(loop.dispatcher()).launch { reloader.watchFile() }
             stopLatch.await()
             0
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -192,6 +192,9 @@
         cause: String
     ) = log.record("reload_rejected", "cause" to cause, "reason" to reason)
 
+    /** Logs that the virtual machine does not use the [archive] of classes that it was started with. */
+    fun reportUnusedArchive(archive: String) = log.record("class_archive_unused", "archive" to archive)
+
     private suspend fun sweep() {
         delay(SWEEP_INTERVAL_MILLISECONDS)
         pool.sweep()
