Answer the first status of a router only if it has heard none of ours

Cause: in a fleet of more than 40 routers, the first message of a router that has started is answered with a status. A first message that echoes nothing, or an earlier start of the router that it comes to, is answered as before.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -109,9 +109,7 @@
         val actions = confirmations(state, status) + comparisons(status, peer.address)
         val reports = status.partReports.takeIf { state.isRecent(status, options, now) }.orEmpty()
         val merge = if (reports.isEmpty()) emptyList() else listOf(GossipAction.MergePartReports(status.from, reports))
-        // A router that has just started waits for its first message of each peer.
-        val started = peer.status?.stamp?.incarnation != status.stamp.incarnation
-        val replies = if (status.replyRequested || started && options.relaysLoads(next.peers.size)) {
+        val replies = if (status.replyRequested || next.isAwaitedBy(peer, status, options)) {
             listOf(GossipAction.Reply(peer.address, status.stamp))
         } else {
             emptyList()
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -82,6 +82,16 @@
         return now <= Instant.ofEpochMilli(echo.milliseconds) + options.interval(peers.size) + options.maxReportDelay
     }
 
+    /**
+     * True if [peer] waits for a message of this router: its latest [status] is the first since its start, and echoes
+     * none. When a whole fleet starts, most first messages echo one already.
+     */
+    fun isAwaitedBy(peer: Peer, status: PeerStatus, options: GossipOptions): Boolean {
+        val started = peer.status?.stamp?.incarnation != status.stamp.incarnation
+        val hasHeard = status.echo?.incarnation == incarnation
+        return started && !hasHeard && options.relaysLoads(peers.size)
+    }
+
     /** Schedules an update; an update that is already pending keeps its time. */
     fun withPendingUpdate(event: GossipEvent.UpdateLearned, options: GossipOptions, now: Instant): GossipState = copy(
         pendingUpdate = PendingUpdate(
