Order what is read from the store by its era, then by its revision

The store may come back from a copy some seconds old and give revisions out again. A router took every list of a lower revision for an old one and ignored it until the store's revision had caught up, and watched on from revisions that the store had given out for other contents.

An answer's Store-Era and its revisions now make one version, an era and a revision in one number, so that lists, digests and deltas between routers order by era first. A watch or a conditional write with a version of another era is not made, and one that is answered in a later era is not believed. Answers of an earlier era than one that is known, from the store or from peers, are ignored with a log line. Without the header everything is as before.

--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -1,5 +1,6 @@
 package comfreypath.router
 
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.ConfirmationPolicy
 import comfreypath.coordination.fleet.GossipOptions
 import comfreypath.coordination.fleet.PeerAddress
@@ -102,6 +103,7 @@
     /** Starts the other followers, the exchange of updates with peers, and the registration. */
     suspend fun startRemaining() {
         peers.onDigest = { code, digest, peer ->
+            store.learnEra(StoreVersion(digest.revision).era)
             followers[code]?.let { it.compare(view.digests()[code], digest, peer) }
         }
         peers.onNewerConfiguration = ::fetchNewerConfiguration
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -2,6 +2,7 @@
 
 import comfreypath.coordination.Step
 import comfreypath.coordination.evidence.PartReport
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.ConfigurationFreshness
 import comfreypath.coordination.fleet.FleetSize
 import comfreypath.coordination.fleet.FleetView
@@ -219,7 +220,10 @@
 
     private fun confirm(action: GossipAction.ConfirmConfiguration) {
         val known = view.configuration.current?.value?.version
+        val digests = state.peers[action.peerName]?.status?.digests.orEmpty()
         when {
+            // The store that the peer is in touch with may lack the newest configuration.
+            digests.isNotEmpty() && digests.values.maxOf { StoreVersion(it.revision).era } < view.era -> Unit
             known == action.version -> view.configuration.confirm(action.confirmedAt)
             known == null || known < action.version ->
                 state.peers[action.peerName]?.let { onNewerConfiguration(it.address, action.version) }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapError
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.ObjectKind
@@ -152,7 +153,7 @@
         sink: StoreSink<T>,
         sentAt: Instant,
     ): FetchOutcome {
-        val objects: List<StoredObject<T>> = snapshot.documents.mapNotNull { store.decode(kind, it) }
+        val objects: List<StoredObject<T>> = snapshot.documents.mapNotNull { store.decode(kind, it, StoreVersion(snapshot.revision).era) }
         val confirmedAt = sentAt.minusMillis(snapshot.ageMilliseconds)
         return when (snapshot.since) {
             null -> FetchOutcome.SAME.also { sink.replace(objects, snapshot.revision, confirmedAt) }
--- a/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.store
 
 import com.github.michaelbull.result.Result
+import comfreypath.coordination.facts.StoreVersion
 import java.time.Duration
 
 /**
@@ -16,7 +17,7 @@
 /**
  * An object as read from the store.
  *
- * @property revision the store revision of the object's last change
+ * @property revision the store version of the object's last change, see [StoreVersion]
  * @property value the decoded content, or why it can't be decoded
  * @property document the object as the store wrote it, to pass on to other routers
  */
@@ -45,9 +46,16 @@
  * The platform's store of versioned objects. Each call is counted in the metrics; none is retried here.
  *
  * Reads are linearizable unless they allow stale results: the result includes every write that the store acknowledged
- * before the call was sent.
+ * before the call was sent. The store may come back from a copy some seconds old; its era then rises. All revisions here
+ * are versions, of an era and a revision, see [StoreVersion]; calls that depend on a version of another era fail.
  */
 interface ObjectStore {
+    /** The highest era of the store that is known; 0 if it names none. */
+    val era: Long get() = 0
+
+    /** Learns from a peer that the store is in [era]: answers of earlier eras fail from now on. */
+    fun learnEra(era: Long) = Unit
+
     /**
      * Lists one page of the objects of a kind, from the start or after the name [after].
      *
@@ -88,8 +96,8 @@
         expectedRevision: Long,
     ): Result<StoredObject<T>, StoreError>
 
-    /** Decodes an object that another router passed on; null if it is malformed. */
-    fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>?
+    /** Decodes an object that another router has read in [era] and passed on; null if it is malformed. */
+    fun <T : Any> decode(kind: ObjectKind<T>, document: String, era: Long = 0): StoredObject<T>?
 
     /** Removes an object, regardless of its revision. */
     suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError>
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -63,6 +63,13 @@
     /** Calls to the platform's store, by verb, kind and outcome. */
     val storeCalls: Counter = counter("comfreypath_store_calls_total", "Calls to the store.", "verb", "kind", "outcome")
 
+    /** The era of the store, which rises each time that it comes back from a copy; 0 if it names none. */
+    val storeEra: Gauge = gauge("comfreypath_store_era", "Era of the store.")
+
+    /** Answers of the store that were ignored, since an answer of a later era had come before. */
+    val storeAnswersOfEarlierEras: Counter =
+        counter("comfreypath_store_answers_of_earlier_eras_total", "Answers of earlier eras of the store.")
+
     /** Bytes of status messages between routers, without UDP and IP headers, by direction. */
     val controlBytes: Counter = counter("comfreypath_control_bytes_total", "Control traffic.", "direction")
 
--- a/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
@@ -1,5 +1,6 @@
 package comfreypath.router.view
 
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.model.DataCentreName
 import comfreypath.coordination.routing.Rollout
@@ -27,6 +28,9 @@
     /** True once the orders of operators that take endpoints or versions out of use are known. */
     val ordersKnown: Boolean get() = evacuations.confirmedAt != null && rollouts.confirmedAt != null
 
+    /** The highest era of the store of which this router has objects. */
+    val era: Long get() = digests().values.maxOfOrNull { StoreVersion(it.revision).era } ?: 0
+
     /** The digest of each followed kind that has been listed, by the kind's code. */
     fun digests(): Map<String, KindDigest> = listOf(
         ObjectKinds.ENDPOINTS to endpoints.entries,
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.router.RouterContext
 import comfreypath.router.peers.KindSnapshot
@@ -18,7 +19,7 @@
     var values: PersistentMap<String, T> = persistentMapOf()
         private set
 
-    /** The store revision that [values] reflects. */
+    /** The store version that [values] reflects, see [StoreVersion]. */
     var revision: Long = 0
         private set
 
@@ -72,7 +73,7 @@
             return
         }
         val decoded = HashMap<String, T>()
-        if (this.confirmedAt == null) {
+        if (this.confirmedAt == null || !isSameEra(revision)) {
             removals.reset(revision)
         } else {
             removals.addMissing(revisions.keys, objects, revision)
@@ -97,6 +98,10 @@
     }
 
     override fun apply(changes: List<ObjectChange<T>>, revision: Long, confirmedAt: Instant) {
+        if (!isSameEra(revision)) {
+            context.log.record("${label}s_ignored", "revision" to revision, "known" to this.revision)
+            return
+        }
         changes.forEach { change ->
             val name = change.stored.name
             val value = if (change.removed) null else change.stored.valueOrNull(context, label)
@@ -125,6 +130,8 @@
         }
     }
 
+    private fun isSameEra(revision: Long) = StoreVersion(revision).era == StoreVersion(this.revision).era
+
     private fun track(stored: StoredObject<T>) {
         revisions[stored.name] = stored.revision
         documents[stored.name] = stored.document
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.router.RouterContext
@@ -180,6 +181,10 @@
         do {
             val page = store.list(kind, next, allowStale)
                 .fold(success = { it }, failure = { if (regular) failed("list", it) else null }) ?: return null
+            if (revision != null && StoreVersion(revision).era != StoreVersion(page.revision).era) {
+                context.log.record("list_across_eras", "kind" to kind.label)
+                return null
+            }
             objects += page.objects
             revision = minOf(revision ?: page.revision, page.revision)
             next = page.next
--- a/router/src/test/kotlin/comfreypath/router/SilentPeerFetchTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/SilentPeerFetchTest.kt
@@ -78,7 +78,7 @@
         }
 
         @Suppress("UNCHECKED_CAST")
-        override fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>? =
+        override fun <T : Any> decode(kind: ObjectKind<T>, document: String, era: Long): StoredObject<T>? =
             stored(document.substringBefore('@'), document.substringAfter('@').toLong()) as StoredObject<T>
     }
 
--- a/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
+++ b/router/src/test/kotlin/comfreypath/router/store/ScriptedStore.kt
@@ -52,7 +52,7 @@
         expectedRevision: Long,
     ): Result<StoredObject<T>, StoreError> = refused
 
-    override fun <T : Any> decode(kind: ObjectKind<T>, document: String): StoredObject<T>? = null
+    override fun <T : Any> decode(kind: ObjectKind<T>, document: String, era: Long): StoredObject<T>? = null
 
     override suspend fun remove(kind: ObjectKind<*>, name: String): Result<Unit, StoreError> = refused
 }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -43,6 +43,10 @@
         if (newFaults.forgetHistory) {
             objects.forgetHistory()
         }
+        objects.nameEras(newFaults.firstEra)
+        if (newFaults.stepBackWrites > 0) {
+            objects.stepBack(newFaults.stepBackWrites)
+        }
     }
 
     /** Creates or replaces an object as another writer does; [spec] appears unchanged in all responses. */
@@ -74,7 +78,8 @@
         )
     }
 
-    private suspend fun handleCall(parts: List<String>, request: IncomingRequest, writer: ResponseWriter) {
+    private suspend fun handleCall(parts: List<String>, request: IncomingRequest, plainWriter: ResponseWriter) {
+        val writer = EraNamingWriter(plainWriter) { faults.namedEra ?: objects.era }
         val kind = parts.first()
         if (faults.outage || faults.silentKind == kind) {
             awaitCancellation()
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
@@ -12,6 +12,9 @@
  * @property loseAnswersPercent the percentage of writes that take effect but get no response
  * @property silentWatches keeps watches open without sending any change
  * @property forgetHistory discards the history of changes, once, when the faults are set
+ * @property firstEra the era that the store names in its answers until it steps back; 0 if it names none
+ * @property stepBackWrites comes back, once, when the faults are set, from a copy that lacks this many changes
+ * @property namedEra names this era in all answers, whatever the store's is; null to name the store's
  */
 @Serializable
 data class StoreFaults(
@@ -22,6 +25,9 @@
     val loseAnswersPercent: Int = 0,
     val silentWatches: Boolean = false,
     val forgetHistory: Boolean = false,
+    val firstEra: Long = 0,
+    val stepBackWrites: Int = 0,
+    val namedEra: Long? = null,
 )
 
 /** Counts of the calls of an object store stand-in since its start, returned by `GET /counts`. */
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreWatch.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreWatch.kt
@@ -14,7 +14,7 @@
 /** Handles the watches of an object store stand-in as long polls: each responds on a change or after a timeout. */
 internal class StoreWatch(private val objects: StoredObjects, private val silent: () -> Boolean) {
     private fun unchanged(kind: String, sinceRevision: Long) =
-        sinceRevision >= objects.oldestRevision && objects.changesSince(kind, sinceRevision).isEmpty()
+        sinceRevision in objects.oldestRevision..objects.revision && objects.changesSince(kind, sinceRevision).isEmpty()
 
     suspend fun run(kind: String, sinceRevision: Long, waitMilliseconds: Long, writer: ResponseWriter) {
         var waitedMilliseconds = 0L
@@ -22,7 +22,7 @@
             delay(POLL_INTERVAL_MILLISECONDS)
             waitedMilliseconds += POLL_INTERVAL_MILLISECONDS
         }
-        if (sinceRevision < objects.oldestRevision) {
+        if (sinceRevision !in objects.oldestRevision..objects.revision) {
             writer.respondStatus(HttpResponseStatus.GONE)
             return
         }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
@@ -50,7 +50,8 @@
     private val objects = sortedMapOf<String, StoredEntry>()
     private val history = ArrayDeque<Change>()
 
-    class Change(val revision: Long, val entry: StoredEntry, val removed: Boolean)
+    /** @property before the object before the change; null if there was none */
+    class Change(val revision: Long, val entry: StoredEntry, val removed: Boolean, val before: StoredEntry?)
 
     /** The revision of the latest change. */
     var revision: Long = 1
@@ -60,6 +61,27 @@
     var oldestRevision: Long = 1
         private set
 
+    /** How often the store has come back from a copy, counted from the first era; 0 if it names none. */
+    var era: Long = 0
+        private set
+
+    /** Names eras from [first] on. */
+    fun nameEras(first: Long) {
+        era = maxOf(era, first)
+    }
+
+    /** Comes back from a copy that lacks the last [writes] changes: their revisions are given out again. */
+    fun stepBack(writes: Int) {
+        val lost = List(minOf(writes, history.size)) { history.removeLast() }
+        lost.forEach { change ->
+            val path = "${change.entry.kind}/${change.entry.name}"
+            val before = change.before
+            if (before == null) objects.remove(path) else objects[path] = before
+        }
+        revision = lost.lastOrNull()?.let { it.revision - 1 } ?: revision
+        era += 1
+    }
+
     fun read(kind: String, name: String): StoredEntry? = objects["$kind/$name"]
 
     /** The objects of [kind] by name, those after the name [after] if it is not null. */
@@ -90,7 +112,7 @@
             else -> {
                 revision += 1
                 objects.remove("$kind/$name")
-                record(Change(revision, current, removed = true))
+                record(Change(revision, current, removed = true, before = current))
                 WriteOutcome.Success(current)
             }
         }
@@ -99,8 +121,8 @@
     private fun put(entry: StoredEntry): StoredEntry {
         revision += 1
         val written = entry.copy(revision = revision)
-        objects["${entry.kind}/${entry.name}"] = written
-        record(Change(revision, written, removed = false))
+        val before = objects.put("${entry.kind}/${entry.name}", written)
+        record(Change(revision, written, removed = false, before))
         return written
     }
 
