Keep what the store has lost in force until it is written again

After the store came back from a copy, routers would send to servers and data centres that had left before the loss, hold a bad version no longer, confirm the configuration in force by a store that has an older one, grant keys whose claims were lost, and stay unregistered.

Servers that had left are not used because a copy shows them, unless their entry changes. Servers without an entry get the grace of an outage. Each era has its own object for a claim shard, so that late writes of an earlier era replace nothing.

The model check of two routers and a store that steps back found that a router granted itself a claim of its own, written late into the object of the earlier era; the content is now written to the object of this era before anything is decided, and a router's granted claim goes before one that it finds in a copy. It finds a double grant when a router does not wait, forgets its claims, shares one object between eras or believes answers of an earlier era.

--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShard.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShard.kt
@@ -1,6 +1,8 @@
 package comfreypath.coordination.claims
 
 import comfreypath.coordination.Step
+import comfreypath.coordination.facts.StoreVersion
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import java.time.Instant
 
@@ -11,6 +13,9 @@
  * taken effect, or a read has returned it. Any number of routers may work on a shard concurrently; having one holder
  * per shard only makes conflicts rare. After a write whose outcome is unknown, the shard is read and compared before
  * it is written again.
+ *
+ * If the store comes back from a copy, the shard is read anew, and what this router has written lately and the copy lacks
+ * is added and written again. Until all routers have done so, a key without a claim is not granted.
  */
 class ClaimShard(private val options: ClaimShardOptions = ClaimShardOptions()) {
     private val transitions = ClaimTransitions(options)
@@ -19,16 +24,30 @@
     fun step(state: ClaimShardState, event: ClaimShardEvent, now: Instant): Step<ClaimShardState, ClaimShardAction> =
         when (event) {
             is ClaimShardEvent.Submitted -> proceed(withSubmitted(state, event.operation, now), now)
-            is ClaimShardEvent.ReadDone -> proceed(
-                state.copy(loaded = event.shard.copy(readAt = now), call = null),
-                now
-            )
+            is ClaimShardEvent.ReadDone -> proceed(readDone(state, event.shard, now), now)
             is ClaimShardEvent.ReadFailed -> proceed(withFailedRead(state, now), now)
             is ClaimShardEvent.WriteDone -> writeDone(state, event.revision, now)
             is ClaimShardEvent.WriteNotConfirmed -> proceed(withUnconfirmedWrite(state, event.conflict, now), now)
+            is ClaimShardEvent.EraKnown -> proceed(withEra(state, event), now)
             is ClaimShardEvent.Tick -> proceed(state, now)
         }
 
+    private fun withEra(state: ClaimShardState, event: ClaimShardEvent.EraKnown): ClaimShardState =
+        if (event.era > state.era) {
+            state.copy(era = event.era, settled = event.settled, loaded = null, restoring = !state.own.isEmpty)
+        } else {
+            // What was read before may lack the claims that other routers have written again since.
+            state.copy(settled = event.settled, loaded = state.loaded.takeIf { event.settled == state.settled })
+        }
+
+    /** Ignores a shard of an earlier era, which may hold claims that the store has lost. */
+    private fun readDone(state: ClaimShardState, shard: LoadedShard, now: Instant): ClaimShardState =
+        if (StoreVersion(shard.revision).era < state.era) {
+            state.copy(call = null)
+        } else {
+            state.copy(loaded = shard.copy(readAt = now), call = null)
+        }
+
     private fun withSubmitted(state: ClaimShardState, operation: ClaimOperation, now: Instant): ClaimShardState {
         val timeout = if (operation is ClaimOperation.Claim) options.claimTimeout else options.recordTimeout
         return state.copy(pending = state.pending.add(PendingOperation(operation, now + timeout)))
@@ -54,10 +73,17 @@
     ): Step<ClaimShardState, ClaimShardAction> {
         val write = state.call as? ShardCall.Writing ?: return Step(state)
         val loaded = LoadedShard(revision, write.content, readAt = now)
+        val own = state.own.written(write.operations, write.content, now, oldest = now - options.ownClaimsMemory)
         val completions = write.operations.map {
             ClaimShardAction.Complete(it.operation, transitions.resultOfWrite(it.operation))
         }
-        val next = proceed(state.copy(loaded = loaded, call = null), now)
+        val written = state.copy(
+            loaded = loaded.takeIf { StoreVersion(revision).era >= state.era },
+            call = null,
+            own = own,
+            restoring = state.restoring && StoreVersion(revision).era < state.era,
+        )
+        val next = proceed(written, now)
         return next.copy(actions = completions + next.actions)
     }
 
@@ -67,7 +93,7 @@
         val current = state.copy(pending = pending.toPersistentList())
         val loaded = current.loaded
         val next = when {
-            current.call != null || current.pending.isEmpty() -> Step(current)
+            current.call != null || current.pending.isEmpty() && !current.restoring -> Step(current)
             now < current.notBefore -> Step(current)
             loaded == null || isStale(current, loaded, now) -> Step(
                 current.copy(call = ShardCall.Reading),
@@ -78,6 +104,20 @@
         return next.copy(actions = completions + next.actions)
     }
 
+    /**
+     * True if [loaded] was read from the object of an earlier era. Late writes may still change that object, so nothing
+     * is decided before its content is written to the object of this era.
+     */
+    private fun isFromEarlierEra(loaded: LoadedShard): Boolean =
+        StoreVersion(loaded.revision).let { it.era > 0 && it.revision == 0L }
+
+    /** True if [operation] is granted as soon as it is applied, unless another router's claim is missing. */
+    private fun needsGrant(records: Map<String, ClaimRecord>, operation: ClaimOperation): Boolean {
+        val existing = records[operation.key.text]
+        val free = existing == null || existing.released || existing.attempt == operation.attempt
+        return operation is ClaimOperation.Claim && free
+    }
+
     /** Returns whether [loaded] may lack a response, recorded by another router, that a pending claim needs. */
     private fun isStale(state: ClaimShardState, loaded: LoadedShard, now: Instant): Boolean {
         val old = now >= loaded.readAt + options.maxReadAge
@@ -93,11 +133,17 @@
         loaded: LoadedShard,
         now: Instant,
     ): Step<ClaimShardState, ClaimShardAction> {
-        val outcome = transitions.apply(loaded.records, state.pending.take(options.maxBatchSize), now)
-        val rest = state.pending.drop(options.maxBatchSize).toPersistentList()
+        val records = if (state.restoring) state.own.addedTo(loaded.records) else loaded.records
+        if (isFromEarlierEra(loaded) && records.isNotEmpty()) {
+            val writing = ShardCall.Writing(persistentListOf(), records)
+            return Step(state.copy(call = writing), listOf(ClaimShardAction.Write(loaded.revision, records)))
+        }
+        val (waiting, ready) = state.pending.partition { !state.settled && needsGrant(records, it.operation) }
+        val outcome = transitions.apply(records, ready.take(options.maxBatchSize), now)
+        val rest = (ready.drop(options.maxBatchSize) + waiting).toPersistentList()
         val completions = outcome.decided.map { ClaimShardAction.Complete(it.operation, it.result) }
-        if (outcome.written.isEmpty()) {
-            return Step(state.copy(pending = rest), completions)
+        if (outcome.written.isEmpty() && records == loaded.records) {
+            return Step(state.copy(pending = rest, restoring = false), completions)
         }
         val writing = ShardCall.Writing(outcome.written.toPersistentList(), outcome.records)
         val next = state.copy(pending = rest, call = writing, notBefore = now + options.minWriteInterval)
--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardOptions.kt
@@ -11,6 +11,7 @@
 private const val MAX_BATCH_SIZE = 256
 private const val MAX_RECORDS = 4_000
 private const val SHARD_COUNT = 64
+private const val OWN_CLAIMS_MEMORY_SECONDS = 60L
 
 /**
  * Settings of a [ClaimShard].
@@ -23,6 +24,8 @@
  * @property maxReadAge age after which the shard is read again before a key is reported as having no response yet
  * @property maxBatchSize maximum number of operations in one write
  * @property maxRecords maximum number of claims in a shard, which keeps it below the store's limit on the object size
+ * @property ownClaimsMemory time for which a router remembers the claims that it has written; longer than the seconds
+ * that a copy of the store lacks
  * @property shardCount number of store objects that the claims are divided among
  */
 data class ClaimShardOptions(
@@ -34,5 +37,6 @@
     val maxReadAge: Duration = Duration.ofMillis(MAX_READ_AGE_MILLISECONDS),
     val maxBatchSize: Int = MAX_BATCH_SIZE,
     val maxRecords: Int = MAX_RECORDS,
+    val ownClaimsMemory: Duration = Duration.ofSeconds(OWN_CLAIMS_MEMORY_SECONDS),
     val shardCount: Int = SHARD_COUNT,
 )
--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardState.kt
@@ -12,18 +12,26 @@
  * @property pending operations that are not yet part of a write
  * @property call read or write in progress; null if there is none
  * @property notBefore earliest time of the next read or write
+ * @property own claims that this router has written lately
+ * @property era era of the store that this shard was last told of
+ * @property restoring true while claims of [own] may be missing in the copy from which the store came back
+ * @property settled false while other routers may not have written their claims again; a key without a claim waits
  */
 data class ClaimShardState(
     val loaded: LoadedShard? = null,
     val pending: PersistentList<PendingOperation> = persistentListOf(),
     val call: ShardCall? = null,
     val notBefore: Instant = Instant.EPOCH,
+    val own: OwnClaims = OwnClaims(),
+    val era: Long = 0,
+    val restoring: Boolean = false,
+    val settled: Boolean = true,
 )
 
 /**
  * Content of a shard at a store revision.
  *
- * @property revision revision of the shard's object; 0 if the object does not exist
+ * @property revision store version of the shard's object; its revision is 0 if the object does not exist in its era
  * @property readAt time at which the content was read or written
  */
 data class LoadedShard(
@@ -64,6 +72,9 @@
     /** A write was rejected because another router wrote first ([conflict]), or its outcome is unknown. */
     data class WriteNotConfirmed(val conflict: Boolean) : ClaimShardEvent
 
+    /** The store is in [era]; [settled] is false while other routers may not have written their claims again. */
+    data class EraKnown(val era: Long, val settled: Boolean) : ClaimShardEvent
+
     /** Time has passed. */
     data object Tick : ClaimShardEvent
 }
--- a/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/demo/PlatformFleet.kt
@@ -114,6 +114,15 @@
         return running
     }
 
+    /** Starts a plain server and registers it. */
+    suspend fun addPlainServer(): RunningServer {
+        val number = plainServers.size
+        val running = startServer("plain-${number + 1}", PlatformLayout.PLAIN_SERVICE, number)
+        plainServers += running
+        storeAdmin.register(running.endpoint)
+        return running
+    }
+
     private suspend fun startRouter(number: Int) {
         val options = customizeRouter(
             RouterOptions(
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -5,6 +5,7 @@
 import comfreypath.coordination.fleet.GossipOptions
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.StoreWatcherSelector
+import comfreypath.coordination.model.InstanceName
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.peers.PeerSnapshots
 import comfreypath.router.peers.Registration
@@ -94,6 +95,15 @@
         ),
     )
 
+    /** The eras in which the peers have written their claims again. */
+    private val claimsRestored = HashMap<InstanceName, Long>()
+
+    /** True once all other routers, live or registered, have said that they have written their claims again in [era]. */
+    fun claimsRestoredByOthers(era: Long): Boolean {
+        val known = peers.knownRouters
+        return (known.live + known.registered - known.self).all { (claimsRestored[it] ?: 0) >= era }
+    }
+
     /** Starts the configuration probe and the endpoint follower, on which requests depend. */
     fun startEssentials() {
         probe.start()
@@ -103,7 +113,10 @@
     /** Starts the other followers, the exchange of updates with peers, and the registration. */
     suspend fun startRemaining() {
         peers.onDigest = { code, digest, peer ->
-            store.learnEra(StoreVersion(digest.revision).era)
+            val era = StoreVersion(digest.revision).era
+            store.learnEra(era)
+            view.configuration.learnEra(era)
+            if (code == ObjectKinds.CLAIMS.code) claimsRestored[peer.name] = era
             followers[code]?.let { it.compare(view.digests()[code], digest, peer) }
         }
         peers.onNewerConfiguration = ::fetchNewerConfiguration
@@ -112,6 +125,11 @@
         snapshots.start()
         configurationFollower.start()
         otherFollowers.values.forEach { it.start() }
+        context.launchLoop("release held objects") {
+            context.ticker.await()
+            view.evacuations.releaseHeld()
+            view.rollouts.releaseHeld()
+        }
         registration.start()
     }
 
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -105,7 +105,12 @@
     )
     private val stalenessLimits = StalenessLimits { context.options.bounds }
     private val viewUpdater = ClusterViewUpdater(context, store, view, peers, stalenessLimits, gossipOptions)
-    private val claims = ClaimCoordinator(context, store)
+    private val claims = ClaimCoordinator(
+        context,
+        store,
+        knownEra = { maxOf(store.era, view.era) },
+        othersRestored = viewUpdater::claimsRestoredByOthers,
+    )
     private val relay = IdempotentRelay(
         context,
         claims,
@@ -168,6 +173,7 @@
         pages.startReadiness()
         viewUpdater.startRemaining()
         claims.start()
+        view.claimsRestoredEra = claims::restoredEra
         rollouts.start()
         pages.startMetrics()
         context.launchLoop("sweep", pass = ::sweep)
--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
@@ -9,6 +9,7 @@
 import comfreypath.coordination.claims.ClaimShardEvent
 import comfreypath.coordination.claims.ClaimShardState
 import comfreypath.coordination.claims.LoadedShard
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.router.RouterContext
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
@@ -36,12 +37,31 @@
     private val waiters = HashMap<ClaimOperation, MutableList<CompletableDeferred<ClaimResult>>>()
     private var lastUsedAt: Instant = context.now()
 
-    /** True when no operation is waiting and the shard was not used recently, so its cached state can be dropped. */
+    /**
+     * True when no operation is waiting and the shard was not used recently, so that its cached state and the claims
+     * that this router has written can be dropped.
+     */
     val idle: Boolean
-        get() = waiters.isEmpty() && state.call == null && context.now() > lastUsedAt + IDLE_EXPIRY
+        get() {
+            val expiry = if (state.own.isEmpty) IDLE_EXPIRY else context.options.claims.ownClaimsMemory
+            return waiters.isEmpty() && state.call == null && context.now() > lastUsedAt + expiry
+        }
+
+    /** True once this router's claims are known not to be missing in [era]. */
+    fun restored(era: Long): Boolean = state.era >= era && !state.restoring
+
+    /** Tells the shard of the store's [era], and whether all routers have written their claims again. */
+    fun learn(era: Long, settled: Boolean) {
+        if (era != state.era || settled != state.settled) {
+            if (era > state.era && !state.own.isEmpty) {
+                context.log.record("claims_restoring", "shard" to name, "era" to era)
+            }
+            step(ClaimShardEvent.EraKnown(era, settled))
+        }
+    }
 
     /** True while operations are waiting for the store. */
-    val busy: Boolean get() = waiters.isNotEmpty()
+    val busy: Boolean get() = waiters.isNotEmpty() || state.restoring
 
     /** Submits [operation] to the shard and waits for its result. */
     suspend fun submit(operation: ClaimOperation): ClaimResult {
@@ -84,30 +104,47 @@
         }
     }
 
-    private suspend fun read(): ClaimShardEvent = store.read(ObjectKinds.CLAIMS, name).fold(
-        success = { stored -> toLoadedShard(stored)?.let { ClaimShardEvent.ReadDone(it) } ?: failRead() },
-        failure = { ClaimShardEvent.ReadFailed },
-    )
+    /**
+     * Reads the shard's object of the current era. If there is none yet, its content is that of the latest earlier era
+     * that has one.
+     */
+    private suspend fun read(): ClaimShardEvent {
+        val era = store.era
+        val names = ClaimShardNames.toRead(name, era)
+        var found: StoredObject<ClaimShardContent>? = null
+        for (candidate in names) {
+            val result = store.read(ObjectKinds.CLAIMS, candidate)
+            if (result.isErr || store.era != era) return ClaimShardEvent.ReadFailed
+            found = result.fold({ it }, { null })
+            if (found != null) {
+                return toLoadedShard(found, era, candidate)?.let { ClaimShardEvent.ReadDone(it) } ?: failRead()
+            }
+        }
+        return ClaimShardEvent.ReadDone(LoadedShard(absent(era), records = persistentMapOf()))
+    }
+
+    /** The version of a shard without an object in [era]. */
+    private fun absent(era: Long): Long = StoreVersion.of(era, revision = 0)?.number ?: 0
 
     private fun failRead(): ClaimShardEvent {
         context.log.record("claims_unreadable", "shard" to name)
         return ClaimShardEvent.ReadFailed
     }
 
-    private fun toLoadedShard(stored: StoredObject<ClaimShardContent>?): LoadedShard? = when {
-        stored == null -> LoadedShard(revision = 0, records = persistentMapOf())
-        else -> stored.value.fold(
-            success = { LoadedShard(stored.revision, it.records.toPersistentMap()) },
-            failure = { null },
-        )
+    private fun toLoadedShard(stored: StoredObject<ClaimShardContent>, era: Long, storedName: String): LoadedShard? {
+        val version = if (storedName == ClaimShardNames.toWrite(name, era)) stored.revision else absent(era)
+        return stored.value.fold({ LoadedShard(version, it.records.toPersistentMap()) }, { null })
     }
 
     private suspend fun write(action: ClaimShardAction.Write): ClaimShardEvent {
         val content = ClaimShardContent(action.records)
-        val result = if (action.expectedRevision > 0) {
-            store.replace(ObjectKinds.CLAIMS, name, content, action.expectedRevision)
+        val expected = StoreVersion(action.expectedRevision)
+        val era = if (store.era == 0L) 0 else expected.era
+        val objectName = ClaimShardNames.toWrite(name, era)
+        val result = if (action.expectedRevision > absent(era)) {
+            store.replace(ObjectKinds.CLAIMS, objectName, content, action.expectedRevision)
         } else {
-            store.create(ObjectKinds.CLAIMS, name, content)
+            store.create(ObjectKinds.CLAIMS, objectName, content)
         }
         return result.fold(
             success = { ClaimShardEvent.WriteDone(it.revision) },
--- a/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/Registration.kt
@@ -1,8 +1,9 @@
 package comfreypath.router.peers
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.router.RouterContext
-import comfreypath.router.launchUntil
+import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKinds
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.RouterRecord
@@ -21,18 +22,22 @@
     private val name = context.options.name.text
     private val record = context.options.peerAddress.let { RouterRecord(it.host, it.port, context.options.dataCentre) }
 
+    /** The era of the store in which this router has registered; null before. */
+    private var registeredIn: Long? = null
+
     /**
-     * Registers in the background, with retries until the store accepts the record. An instance that restarts has its
-     * record already; it needs no call then.
+     * Registers in the background, with retries until the store accepts the record, and again if the store has come
+     * back from a copy without it. An instance that restarts has its record already; it needs no call then.
      */
     fun start() {
-        context.launchUntil("register") {
-            if (routers.confirmedAt == null) {
+        context.launchLoop("register") {
+            val era = StoreVersion(routers.revision).era
+            if (routers.confirmedAt == null || registeredIn == era || routers.values[name] == record) {
                 context.ticker.await()
-                false
+            } else if (register()) {
+                registeredIn = era
             } else {
-                (routers.values[name] == record || register())
-                    .also { registered -> if (!registered) delay(RETRY_MILLISECONDS) }
+                delay(RETRY_MILLISECONDS)
             }
         }
     }
--- a/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ClusterView.kt
@@ -17,10 +17,10 @@
     val endpoints = EndpointView(context)
 
     /** The rollouts, by service name. */
-    val rollouts = KindView<Rollout>(context, "rollout")
+    val rollouts = KindView<Rollout>(context, "rollout", holdsLost = true)
 
     /** The evacuated data centres, by name. */
-    val evacuations = KindView<DataCentreName>(context, "evacuation")
+    val evacuations = KindView<DataCentreName>(context, "evacuation", holdsLost = true)
 
     /** The registered routers, by instance name. */
     val routers = KindView<RouterRecord>(context, "router")
@@ -29,7 +29,11 @@
     val ordersKnown: Boolean get() = evacuations.confirmedAt != null && rollouts.confirmedAt != null
 
     /** The highest era of the store of which this router has objects. */
-    val era: Long get() = digests().values.maxOfOrNull { StoreVersion(it.revision).era } ?: 0
+    val era: Long
+        get() = listOf(endpoints.entries, rollouts, evacuations, routers).maxOf { StoreVersion(it.revision).era }
+
+    /** Returns the era in which this router has written its claims again, to tell peers; 0 if there is none. */
+    var claimsRestoredEra: () -> Long = { 0 }
 
     /** The digest of each followed kind that has been listed, by the kind's code. */
     fun digests(): Map<String, KindDigest> = listOf(
@@ -37,5 +41,10 @@
         ObjectKinds.ROLLOUTS to rollouts,
         ObjectKinds.EVACUATIONS to evacuations,
         ObjectKinds.ROUTERS to routers,
-    ).mapNotNull { (kind, objects) -> objects.digest?.let { kind.code to it } }.toMap()
+    ).mapNotNull { (kind, objects) -> objects.digest?.let { kind.code to it } }.toMap() + claimsDigest()
+
+    private fun claimsDigest(): Map<String, KindDigest> = StoreVersion.of(claimsRestoredEra(), revision = 0)
+        ?.takeIf { it.era > 0 }
+        ?.let { mapOf(ObjectKinds.CLAIMS.code to KindDigest(it.number, hash = 0)) }
+        .orEmpty()
 }
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -2,12 +2,14 @@
 
 import comfreypath.coordination.availability.Incarnation
 import comfreypath.coordination.availability.incarnation
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.DepartureLog
 import comfreypath.coordination.fleet.Departures
 import comfreypath.coordination.fleet.InFlight
 import comfreypath.coordination.model.EndpointName
 import comfreypath.coordination.model.InstanceName
 import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.routing.DepartedEndpoints
 import comfreypath.coordination.routing.Endpoint
 import comfreypath.coordination.routing.RemovalGrace
 import comfreypath.coordination.routing.RemovalPolicy
@@ -21,6 +23,14 @@
     private var known: Map<EndpointName, Endpoint> = emptyMap()
     private var byService: Map<ServiceName, List<Endpoint>> = emptyMap()
     private var departures = DepartureLog()
+    private var departed = DepartedEndpoints()
+    private var era: Long? = null
+
+    /** When this router read the endpoints in a new era of the store, whose leases are gone; null before. */
+    private var eraChangedAt: Instant? = null
+
+    private val outageEndedAt: Instant?
+        get() = listOfNotNull(storeOutageEndedAt(), eraChangedAt).maxOrNull()
 
     /** The registered endpoints, by name. */
     val entries = KindView<Endpoint>(context, "endpoint")
@@ -37,14 +47,17 @@
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
         val now = context.now()
+        val newEra = isNewEra()
+        if (newEra) eraChangedAt = now
         val previous = grace.noticedAt.keys
         grace = RemovalPolicy.update(grace, known, current, now) { endpoint ->
             departures.heard[InFlight.key(endpoint.name)]?.at ?: entries.behindSince ?: now
         }
-        val kept = grace.activeEndpoints(now, storeOutageEndedAt()).toSet()
+        val kept = grace.activeEndpoints(now, outageEndedAt).toSet()
         (kept - previous).forEach {
             context.log.record("endpoint_kept_without_entry", "endpoint" to it.name, "noticedAt" to grace.noticedAt[it])
         }
+        followDepartures(current, kept, newEra, now)
         val left = known.values.filter { !it.draining && current[it.name]?.draining != false && it !in kept }
         departures = departures.listed(left.map { InFlight.key(it.name) }, entries.revision, now)
         known = current
@@ -57,6 +70,25 @@
         }
     }
 
+    private fun isNewEra(): Boolean {
+        val previous = era
+        era = StoreVersion(entries.revision).era
+        return previous != null && era != previous
+    }
+
+    private fun followDepartures(current: Map<EndpointName, Endpoint>, kept: Set<Endpoint>, newEra: Boolean, now: Instant) {
+        val before = departed
+        departed = if (newEra) {
+            val heard = known.values.filter { InFlight.key(it.name) in departures.heard }
+            before.listedAnew(known, heard, current, now)
+        } else {
+            before.changed(known, current, kept, now)
+        }
+        (departed.held.keys - before.held.keys).forEach {
+            context.log.record("endpoint_held_as_left", "endpoint" to it, "revision" to entries.revision)
+        }
+    }
+
     /** The endpoints that have left lately, to tell peers; null if there are none. */
     fun departuresToTell(): Departures? = departures.toTell(context.now())
 
@@ -72,10 +104,11 @@
     }
 
     /**
-     * True if a peer has told that [endpoint] has left, and the list does not show it yet. Endpoints that are kept
-     * without an entry are not concerned: this router's list shows that they have none.
+     * True if a peer has told that [endpoint] has left, and the list does not show it yet, or if it had left before the
+     * store came back from a copy that shows it as usable. Endpoints that are kept without an entry are not concerned:
+     * this router's list shows that they have none.
      */
-    fun hasLeft(endpoint: Endpoint): Boolean = departures.heard.isNotEmpty() && endpoint.name in known &&
+    fun hasLeft(endpoint: Endpoint): Boolean = departed.holds(endpoint, context.now()) || departures.heard.isNotEmpty() && endpoint.name in known &&
         departures.hasLeft(InFlight.key(endpoint.name), entries.revision, context.now())
 
     /** True if [endpoint] is still cold at [now], by its last report of the remaining cold time. */
@@ -91,7 +124,7 @@
         }
     }
 
-    private fun keptEndpoints(): List<Endpoint> = grace.activeEndpoints(context.now(), storeOutageEndedAt())
+    private fun keptEndpoints(): List<Endpoint> = grace.activeEndpoints(context.now(), outageEndedAt)
 
     /** True if [incarnation] has an entry, or is kept although its entry expired. */
     fun isUsable(incarnation: Incarnation): Boolean = known[incarnation.name]?.incarnation == incarnation ||
--- a/router/src/main/kotlin/comfreypath/router/view/KindView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/KindView.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.HeldObjects
 import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.router.RouterContext
@@ -14,7 +15,13 @@
 import java.time.Instant
 
 /** The objects of one kind, as last received from the store or from a peer. */
-class KindView<T : Any>(private val context: RouterContext, private val label: String) : StoreSink<T> {
+class KindView<T : Any>(
+    private val context: RouterContext,
+    private val label: String,
+    private val holdsLost: Boolean = false,
+) : StoreSink<T> {
+    private var held = HeldObjects()
+
     /** The objects that could be decoded, by name. */
     var values: PersistentMap<String, T> = persistentMapOf()
         private set
@@ -84,7 +91,8 @@
         objects.forEach { track(it) }
         objects.forEach { stored -> stored.valueOrNull(context, label)?.let { decoded[stored.name] = it } }
         val previous = values
-        values = decoded.toPersistentMap()
+        if (holdsLost) holdLost(previous.keys, revision)
+        values = decoded.toPersistentMap().putAll(previous.filterKeys { it in held.names })
         this.revision = revision
         this.confirmedAt = confirmedAt
         agreed(confirmedAt)
@@ -104,6 +112,7 @@
         }
         changes.forEach { change ->
             val name = change.stored.name
+            held = held.without(name)
             val value = if (change.removed) null else change.stored.valueOrNull(context, label)
             values = if (value == null) values.remove(name) else values.put(name, value)
             if (change.removed) untrack(name, revision) else track(change.stored)
@@ -122,6 +131,25 @@
         behindSince = null
     }
 
+    /** Keeps the objects that a store that came back from a copy lacks, until they are written again or for a while. */
+    private fun holdLost(known: Set<String>, revision: Long) {
+        val before = held
+        held = before.listed(known, revisions.keys, newEra = !isSameEra(revision), context.now())
+        (held.names - before.names).forEach { context.log.record("${label}_held", label to it, "revision" to revision) }
+    }
+
+    /** Releases the objects that the store has lacked for too long since it came back from a copy. */
+    fun releaseHeld() {
+        val before = held
+        held = before.recent(context.now())
+        val released = before.names - held.names
+        if (released.isNotEmpty()) {
+            released.forEach { context.log.record("${label}_released", label to it) }
+            released.forEach { values = values.remove(it) }
+            notify(changed = true)
+        }
+    }
+
     private fun notify(changed: Boolean) {
         if (changed || notifying) {
             notifying = true
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -1,6 +1,7 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.routing.Configuration
 import comfreypath.router.RouterContext
@@ -39,13 +40,18 @@
 ) : StoreSink<Configuration> {
     override val digest: KindDigest? get() = null
 
-    override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) =
+    override fun replace(objects: List<StoredObject<Configuration>>, revision: Long, confirmedAt: Instant) {
+        if (objects.none { it.name == ObjectKinds.CONFIGURATION_NAME }) {
+            view.learnEra(StoreVersion(revision).era)
+            view.compareWithStore(version = null, revision)
+        }
         objects.forEach { update(it, confirmedAt) }
+    }
 
     override fun apply(changes: List<ObjectChange<Configuration>>, revision: Long, confirmedAt: Instant) {
         changes.filterNot { it.removed }.forEach { update(it.stored, confirmedAt) }
         if (changes.isEmpty()) {
-            view.confirm(confirmedAt)
+            view.confirmByStore(revision, confirmedAt)
         }
     }
 
--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -31,6 +31,12 @@
     /** Listens on [address] and returns the bound address. */
     suspend fun start(address: Address): Address = server.start(address)
 
+    /** The revision of the latest change. */
+    val revision: Long get() = objects.revision
+
+    /** The names of the objects of [kind]. */
+    fun names(kind: String): List<String> = objects.list(kind).map { it.name }
+
     /** Stops and aborts the calls in progress. */
     suspend fun stop() = server.stop()
 
@@ -44,8 +50,8 @@
             objects.forgetHistory()
         }
         objects.nameEras(newFaults.firstEra)
-        if (newFaults.stepBackWrites > 0) {
-            objects.stepBack(newFaults.stepBackWrites)
+        if (newFaults.stepBackTo > 0) {
+            objects.stepBack(newFaults.stepBackTo)
         }
     }
 
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoreFaults.kt
@@ -13,7 +13,7 @@
  * @property silentWatches keeps watches open without sending any change
  * @property forgetHistory discards the history of changes, once, when the faults are set
  * @property firstEra the era that the store names in its answers until it steps back; 0 if it names none
- * @property stepBackWrites comes back, once, when the faults are set, from a copy that lacks this many changes
+ * @property stepBackTo comes back, once, when the faults are set, from a copy of this revision; 0 for none
  * @property namedEra names this era in all answers, whatever the store's is; null to name the store's
  */
 @Serializable
@@ -26,7 +26,7 @@
     val silentWatches: Boolean = false,
     val forgetHistory: Boolean = false,
     val firstEra: Long = 0,
-    val stepBackWrites: Int = 0,
+    val stepBackTo: Long = 0,
     val namedEra: Long? = null,
 )
 
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
@@ -70,15 +70,16 @@
         era = maxOf(era, first)
     }
 
-    /** Comes back from a copy that lacks the last [writes] changes: their revisions are given out again. */
-    fun stepBack(writes: Int) {
-        val lost = List(minOf(writes, history.size)) { history.removeLast() }
-        lost.forEach { change ->
+    /** Comes back from a copy of [copied], an earlier revision: the later ones are lost, and given out again. */
+    fun stepBack(copied: Long) {
+        require(copied in oldestRevision..revision) { "no copy of revision $copied" }
+        while (history.isNotEmpty() && history.last().revision > copied) {
+            val change = history.removeLast()
             val path = "${change.entry.kind}/${change.entry.name}"
             val before = change.before
             if (before == null) objects.remove(path) else objects[path] = before
         }
-        revision = lost.lastOrNull()?.let { it.revision - 1 } ?: revision
+        revision = copied
         era += 1
     }
 
