--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimRecovery.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimRecovery.kt
@@ -8,9 +8,9 @@
 /**
  * When keys that no claim covers may be claimed again after the store has come back from a copy.
  *
- * Answers the load in which a caller repeats a request at another router before the first one has written its lost claim
- * again. In a new era, a key without a claim is not granted until all routers of the fleet have said that they have
- * written theirs; a router that is gone or suspended is waited for up to a limit.
+ * Answers the load in which a caller repeats a request at another router before the first one has written its lost
+ * claim again. In a new era, a key without a claim is not granted until all routers of the fleet have said that they
+ * have written theirs; a router that is gone or suspended is waited for up to a limit.
  *
  * @property era the highest era known
  * @property since when this router learned of [era]
--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShard.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShard.kt
@@ -2,7 +2,6 @@
 
 import comfreypath.coordination.Step
 import comfreypath.coordination.facts.StoreVersion
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import java.time.Instant
 
@@ -14,8 +13,8 @@
  * per shard only makes conflicts rare. After a write whose outcome is unknown, the shard is read and compared before
  * it is written again.
  *
- * If the store comes back from a copy, the shard is read anew, and what this router has written lately and the copy lacks
- * is added and written again. Until all routers have done so, a key without a claim is not granted.
+ * If the store comes back from a copy, the shard is read anew, and what this router has written lately and the copy
+ * lacks is added and written again. Until all routers have done so, a key without a claim is not granted.
  */
 class ClaimShard(private val options: ClaimShardOptions = ClaimShardOptions()) {
     private val transitions = ClaimTransitions(options)
@@ -104,20 +103,6 @@
         return next.copy(actions = completions + next.actions)
     }
 
-    /**
-     * True if [loaded] was read from the object of an earlier era. Late writes may still change that object, so nothing
-     * is decided before its content is written to the object of this era.
-     */
-    private fun isFromEarlierEra(loaded: LoadedShard): Boolean =
-        StoreVersion(loaded.revision).let { it.era > 0 && it.revision == 0L }
-
-    /** True if [operation] is granted as soon as it is applied, unless another router's claim is missing. */
-    private fun needsGrant(records: Map<String, ClaimRecord>, operation: ClaimOperation): Boolean {
-        val existing = records[operation.key.text]
-        val free = existing == null || existing.released || existing.attempt == operation.attempt
-        return operation is ClaimOperation.Claim && free
-    }
-
     /** Returns whether [loaded] may lack a response, recorded by another router, that a pending claim needs. */
     private fun isStale(state: ClaimShardState, loaded: LoadedShard, now: Instant): Boolean {
         val old = now >= loaded.readAt + options.maxReadAge
@@ -134,15 +119,14 @@
         now: Instant,
     ): Step<ClaimShardState, ClaimShardAction> {
         val records = if (state.restoring) state.own.addedTo(loaded.records) else loaded.records
-        if (isFromEarlierEra(loaded) && records.isNotEmpty()) {
-            val writing = ShardCall.Writing(persistentListOf(), records)
-            return Step(state.copy(call = writing), listOf(ClaimShardAction.Write(loaded.revision, records)))
+        val carriedOver = loaded.isFromEarlierEra && records.isNotEmpty()
+        val (waiting, ready) = state.pending.partition {
+            carriedOver || !state.settled && transitions.needsGrant(records, it.operation)
         }
-        val (waiting, ready) = state.pending.partition { !state.settled && needsGrant(records, it.operation) }
         val outcome = transitions.apply(records, ready.take(options.maxBatchSize), now)
         val rest = (ready.drop(options.maxBatchSize) + waiting).toPersistentList()
         val completions = outcome.decided.map { ClaimShardAction.Complete(it.operation, it.result) }
-        if (outcome.written.isEmpty() && records == loaded.records) {
+        if (outcome.written.isEmpty() && records == loaded.records && !carriedOver) {
             return Step(state.copy(pending = rest, restoring = false), completions)
         }
         val writing = ShardCall.Writing(outcome.written.toPersistentList(), outcome.records)
--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimShardState.kt
@@ -1,5 +1,6 @@
 package comfreypath.coordination.claims
 
+import comfreypath.coordination.facts.StoreVersion
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -38,7 +39,13 @@
     val revision: Long,
     val records: PersistentMap<String, ClaimRecord>,
     val readAt: Instant = Instant.EPOCH,
-)
+) {
+    /**
+     * True if this may have been read from the object of an earlier era. Late writes may still change that object, so
+     * nothing is decided before its content is written to the object of this era.
+     */
+    val isFromEarlierEra: Boolean get() = StoreVersion(revision).let { it.era > 0 && it.revision == 0L }
+}
 
 /** A submitted operation and the time at which it is abandoned. */
 data class PendingOperation(val operation: ClaimOperation, val deadline: Instant)
--- a/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimTransitions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/claims/ClaimTransitions.kt
@@ -30,6 +30,13 @@
     fun resultOfWrite(operation: ClaimOperation): ClaimResult =
         if (operation is ClaimOperation.Claim) ClaimResult.Granted else ClaimResult.Stored
 
+    /** True if [operation] would be granted by [records], which may lack the claim of another router. */
+    fun needsGrant(records: Map<String, ClaimRecord>, operation: ClaimOperation): Boolean {
+        val existing = records[operation.key.text]
+        val free = existing == null || existing.released || existing.attempt == operation.attempt
+        return operation is ClaimOperation.Claim && free
+    }
+
     /** Removes expired records, then applies the [operations] in order. */
     fun apply(
         records: PersistentMap<String, ClaimRecord>,
--- a/coordination/src/main/kotlin/comfreypath/coordination/facts/HeldObjects.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/facts/HeldObjects.kt
@@ -11,9 +11,9 @@
 /**
  * The operators' orders that stay in force although the copy from which the store came back lacks them.
  *
- * Answers the load in which the store loses the order to evacuate a data centre, or to roll a version out, and requests
- * would flow again until the operator has written it anew. An order is held until the store has it again, until a change
- * removes it, or for a limited time.
+ * Answers the load in which the store loses the order to evacuate a data centre, or to roll a version out, and
+ * requests would flow again until the operator has written it anew. An order is held until the store has it again,
+ * until a change removes it, or for a limited time.
  *
  * @property since when each order was found to be missing, by name
  */
--- a/coordination/src/main/kotlin/comfreypath/coordination/facts/StoreEras.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/facts/StoreEras.kt
@@ -4,8 +4,8 @@
  * The era of the store as one router knows it, from the store's answers and from its peers.
  *
  * Answers the load in which the store comes back from an older copy while calls are under way, and routers are in touch
- * with it before and after that. The era never decreases: an answer of an earlier era is late, or the store is at fault;
- * nothing may be concluded from it.
+ * with it before and after that. The era never decreases: an answer of an earlier era is late, or the store is at
+ * fault; nothing may be concluded from it.
  *
  * @property current the highest era known
  * @property answered true once an answer of [current] has arrived, so that calls of this router meet the new store
--- a/coordination/src/main/kotlin/comfreypath/coordination/facts/StoreVersion.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/facts/StoreVersion.kt
@@ -18,6 +18,9 @@
     /** The store's own revision, which is meaningful only within [era]. */
     val revision: Long get() = number and MAX_REVISION
 
+    /** True if this version is of the same era as [other]. */
+    fun isOfSameEra(other: StoreVersion): Boolean = era == other.era
+
     override fun compareTo(other: StoreVersion): Int = number.compareTo(other.number)
 
     override fun toString(): String = if (era == 0L) "$revision" else "$era/$revision"
@@ -29,6 +32,9 @@
         /** The highest era. */
         const val MAX_ERA: Long = Long.MAX_VALUE ushr REVISION_BITS
 
+        /** How logs show the version in [number]: the revision alone, or era and revision. */
+        fun label(number: Long): Any = StoreVersion(number).let { if (it.era == 0L) number else it.toString() }
+
         /** The version of [revision] in [era]; null if one of them is out of range. */
         fun of(era: Long, revision: Long): StoreVersion? = when {
             era == 0L -> StoreVersion(revision)
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/DepartedEndpoints.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/DepartedEndpoints.kt
@@ -26,8 +26,8 @@
     data class Hold(val endpoint: Endpoint, val until: Instant)
 
     /**
-     * Learns of changes in one era of the store, from [before] to [after]. The endpoints in [kept] have no entry because
-     * of an outage; they have not left.
+     * Learns of changes in one era of the store, from [before] to [after]. The endpoints in [kept] have no entry
+     * because of an outage; they have not left.
      */
     fun changed(
         before: Map<EndpointName, Endpoint>,
--- a/coordination/src/test/kotlin/comfreypath/coordination/claims/ClaimEraModelCheck.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/claims/ClaimEraModelCheck.kt
@@ -32,7 +32,11 @@
     )
 
     private val shard = ClaimShard(
-        ClaimShardOptions(minWriteInterval = Duration.ZERO, retryBackoff = Duration.ZERO, maxReadAge = Duration.ofDays(1)),
+        ClaimShardOptions(
+            minWriteInterval = Duration.ZERO,
+            retryBackoff = Duration.ZERO,
+            maxReadAge = Duration.ofDays(1)
+        ),
     )
     private val now = Instant.parse("2026-01-01T00:00:00Z")
     private val key = ClaimKey(TeamName("team-1"), "once")
@@ -107,7 +111,11 @@
         state.nodes.forEachIndexed { router, node ->
             if (!node.submitted) add("router $router is asked" to submitted(state, router))
             if (node.era < state.store.era) add("router $router hears of the era" to heard(state, router))
-            if (node.shard.call != null && node.era > 1) add("a call of router $router fails" to timedOut(state, router))
+            if (node.shard.call != null && node.era > 1) {
+                add(
+                    "a call of router $router fails" to timedOut(state, router)
+                )
+            }
             if (node.era > 1 && !node.shard.restoring && state.nodes[1 - router].otherRestored < node.era) {
                 add("router $router has restored" to acknowledged(state, router, node.era))
             }
@@ -133,13 +141,24 @@
     )
 
     private fun failure(node: Node): ClaimShardEvent =
-        if (node.shard.call is ShardCall.Reading) ClaimShardEvent.ReadFailed else ClaimShardEvent.WriteNotConfirmed(false)
+        if (node.shard.call is ShardCall.Reading) {
+            ClaimShardEvent.ReadFailed
+        } else {
+            ClaimShardEvent.WriteNotConfirmed(
+                false
+            )
+        }
 
     /** Applies what [node], as it is now, knows of the era. */
     private fun settled(state: State, router: Int, node: Node): State {
         val others = !rules.waitsForOthers || node.otherRestored >= node.era
         val told = node.recovery.next(node.era, ownRestored = false, others, now)
-        val restored = told.next(node.era, ownRestored = node.shard.era >= node.era && !node.shard.restoring, others, now)
+        val restored = told.next(
+            node.era,
+            ownRestored = node.shard.era >= node.era && !node.shard.restoring,
+            others,
+            now
+        )
         val event = ClaimShardEvent.EraKnown(node.era, restored.settled)
         return stepped(state, router, node.copy(recovery = restored), event, settle = false)
     }
@@ -161,15 +180,21 @@
     private fun version(era: Long, revision: Long) = checkNotNull(StoreVersion.of(era, revision)).number
 
     private fun handled(state: State, call: Call): State {
+        val write = call.write
+        return if (write == null) read(state, call) else written(state, call, write)
+    }
+
+    private fun read(state: State, call: Call): State {
         val store = state.store
         val names = if (rules.objectPerEra) (call.era downTo 1).map(::objectName) else listOf(objectName(1))
-        val write = call.write
-        if (write == null) {
-            val name = names.firstOrNull { it in store.objects }
-            val found = name?.let { store.objects.getValue(it) }
-            val shown = found?.copy(revision = if (name == names.first()) found.revision else 0)
-            return replied(state, Answer(call, store.era, shown, conflict = false))
-        }
+        val name = names.firstOrNull { it in store.objects }
+        val found = name?.let { store.objects.getValue(it) }
+        val shown = found?.copy(revision = if (name == names.first()) found.revision else 0)
+        return replied(state, Answer(call, store.era, shown, conflict = false))
+    }
+
+    private fun written(state: State, call: Call, write: ClaimShardAction.Write): State {
+        val store = state.store
         val expected = StoreVersion(write.expectedRevision).revision
         val name = objectName(StoreVersion(write.expectedRevision).era)
         if ((store.objects[name]?.revision ?: 0) != expected) {
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -98,7 +98,7 @@
     /** The eras in which the peers have written their claims again. */
     private val claimsRestored = HashMap<InstanceName, Long>()
 
-    /** True once all other routers, live or registered, have said that they have written their claims again in [era]. */
+    /** True once all other routers, live or registered, have written their claims again in [era], as they say. */
     fun claimsRestoredByOthers(era: Long): Boolean {
         val known = peers.knownRouters
         return (known.live + known.registered - known.self).all { (claimsRestored[it] ?: 0) >= era }
--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimShardDriver.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.claims
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.claims.ClaimOperation
 import comfreypath.coordination.claims.ClaimResult
@@ -110,30 +112,26 @@
      */
     private suspend fun read(): ClaimShardEvent {
         val era = store.era
-        val names = ClaimShardNames.toRead(name, era)
-        var found: StoredObject<ClaimShardContent>? = null
-        for (candidate in names) {
-            val result = store.read(ObjectKinds.CLAIMS, candidate)
-            if (result.isErr || store.era != era) return ClaimShardEvent.ReadFailed
-            found = result.fold({ it }, { null })
-            if (found != null) {
-                return toLoadedShard(found, era, candidate)?.let { ClaimShardEvent.ReadDone(it) } ?: failRead()
-            }
+        var found: Result<StoredObject<ClaimShardContent>?, StoreError> = Ok(null)
+        val names = ClaimShardNames.toRead(name, era).iterator()
+        while (found.fold({ it == null }, { false }) && names.hasNext()) {
+            found = store.read(ObjectKinds.CLAIMS, names.next())
         }
-        return ClaimShardEvent.ReadDone(LoadedShard(absent(era), records = persistentMapOf()))
-    }
-
-    /** The version of a shard without an object in [era]. */
-    private fun absent(era: Long): Long = StoreVersion.of(era, revision = 0)?.number ?: 0
-
-    private fun failRead(): ClaimShardEvent {
-        context.log.record("claims_unreadable", "shard" to name)
-        return ClaimShardEvent.ReadFailed
+        val shard = found.fold({ toLoadedShard(it, era) }, { null })
+        return if (shard == null || store.era != era) ClaimShardEvent.ReadFailed else ClaimShardEvent.ReadDone(shard)
     }
 
-    private fun toLoadedShard(stored: StoredObject<ClaimShardContent>, era: Long, storedName: String): LoadedShard? {
-        val version = if (storedName == ClaimShardNames.toWrite(name, era)) stored.revision else absent(era)
-        return stored.value.fold({ LoadedShard(version, it.records.toPersistentMap()) }, { null })
+    private fun toLoadedShard(stored: StoredObject<ClaimShardContent>?, era: Long): LoadedShard? {
+        val current = stored?.name == ClaimShardNames.toWrite(name, era)
+        val version = stored?.revision?.takeIf { current } ?: ClaimShardNames.absent(era)
+        return if (stored == null) {
+            LoadedShard(version, records = persistentMapOf())
+        } else {
+            stored.value.fold(
+                success = { LoadedShard(version, it.records.toPersistentMap()) },
+                failure = { null.also { context.log.record("claims_unreadable", "shard" to name) } },
+            )
+        }
     }
 
     private suspend fun write(action: ClaimShardAction.Write): ClaimShardEvent {
@@ -141,7 +139,7 @@
         val expected = StoreVersion(action.expectedRevision)
         val era = if (store.era == 0L) 0 else expected.era
         val objectName = ClaimShardNames.toWrite(name, era)
-        val result = if (action.expectedRevision > absent(era)) {
+        val result = if (action.expectedRevision > ClaimShardNames.absent(era)) {
             store.replace(ObjectKinds.CLAIMS, objectName, content, action.expectedRevision)
         } else {
             store.create(ObjectKinds.CLAIMS, objectName, content)
--- a/router/src/main/kotlin/comfreypath/router/claims/ClaimShardNames.kt
+++ b/router/src/main/kotlin/comfreypath/router/claims/ClaimShardNames.kt
@@ -1,5 +1,7 @@
 package comfreypath.router.claims
 
+import comfreypath.coordination.facts.StoreVersion
+
 private const val MAX_EARLIER_ERAS = 4
 
 /**
@@ -12,6 +14,9 @@
     /** The name to write in [era]; [shard] itself if the store names no eras. */
     fun toWrite(shard: String, era: Long): String = if (era == 0L) shard else "$shard.$era"
 
+    /** The version of a shard without an object in [era]. */
+    fun absent(era: Long): Long = StoreVersion.of(era, revision = 0)?.number ?: 0
+
     /** The names under which the content may be found in [era], the latest first. */
     fun toRead(shard: String, era: Long): List<String> {
         val oldest = maxOf(1, era - MAX_EARLIER_ERAS)
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -132,8 +132,8 @@
             "copy_fetched",
             "kind" to kind.label,
             "peer" to peer,
-            "since" to snapshot?.since,
-            "revision" to snapshot?.revision,
+            "since" to snapshot?.since?.let(StoreVersion::label),
+            "revision" to snapshot?.revision?.let(StoreVersion::label),
             "documents" to snapshot?.documents?.size,
             "outcome" to outcome,
         )
@@ -153,7 +153,9 @@
         sink: StoreSink<T>,
         sentAt: Instant,
     ): FetchOutcome {
-        val objects: List<StoredObject<T>> = snapshot.documents.mapNotNull { store.decode(kind, it, StoreVersion(snapshot.revision).era) }
+        val objects: List<StoredObject<T>> = snapshot.documents.mapNotNull {
+            store.decode(kind, it, StoreVersion(snapshot.revision).era)
+        }
         val confirmedAt = sentAt.minusMillis(snapshot.ageMilliseconds)
         return when (snapshot.since) {
             null -> FetchOutcome.SAME.also { sink.replace(objects, snapshot.revision, confirmedAt) }
--- a/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.rollout.RolloutAction
 import comfreypath.coordination.rollout.RolloutController
 import comfreypath.coordination.rollout.RolloutEvent
@@ -97,7 +98,7 @@
         record(
             "rollout_write",
             "state" to action.state,
-            "expectedRevision" to action.expectedRevision,
+            "expectedRevision" to StoreVersion.label(action.expectedRevision),
             result.outcome()
         )
         val written = result.fold({ it }, { null })
@@ -152,7 +153,7 @@
         event,
         "service" to progress.order.service,
         "target" to progress.order.target,
-        "revision" to progress.revision,
+        "revision" to StoreVersion.label(progress.revision),
         "ageMs" to progress.age(context.now()).toMillis(),
         *fields,
     )
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -58,7 +58,11 @@
     private fun follow() {
         val orders = view.rollouts.values
         // An order that has become unreadable stays in force.
-        drivers.keys.filter { view.rollouts.revisionOf(it) == null && it !in orders }.forEach { drivers.remove(it)?.close() }
+        drivers.keys.filter { view.rollouts.revisionOf(it) == null && it !in orders }.forEach {
+            drivers.remove(
+                it
+            )?.close()
+        }
         orders.forEach { (name, order) ->
             val revision = view.rollouts.revisionOf(name) ?: drivers[name]?.progress?.revision ?: 0
             val driver = drivers[name]
--- a/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
+++ b/router/src/main/kotlin/comfreypath/router/store/ObjectStore.kt
@@ -46,8 +46,8 @@
  * The platform's store of versioned objects. Each call is counted in the metrics; none is retried here.
  *
  * Reads are linearizable unless they allow stale results: the result includes every write that the store acknowledged
- * before the call was sent. The store may come back from a copy some seconds old; its era then rises. All revisions here
- * are versions, of an era and a revision, see [StoreVersion]; calls that depend on a version of another era fail.
+ * before the call was sent. The store may come back from a copy some seconds old; its era then rises. All revisions
+ * here are versions, of an era and a revision, see [StoreVersion]; calls that depend on a version of another era fail.
  */
 interface ObjectStore {
     /** The highest era of the store that is known; 0 if it names none. */
--- a/router/src/main/kotlin/comfreypath/router/view/ConfigurationView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/ConfigurationView.kt
@@ -80,7 +80,7 @@
                 "configuration_ignored",
                 "version" to candidate.version,
                 "inForce" to previous.value.version,
-                "revision" to revision,
+                "revision" to StoreVersion.label(revision),
             )
         }
     }
@@ -100,7 +100,7 @@
             "configuration_applied",
             "version" to candidate.version,
             "previousVersion" to previous,
-            "revision" to revision,
+            "revision" to StoreVersion.label(revision),
             "ageMs" to current?.age(context.now())?.toMillis(),
             "routes" to candidate.routes.size,
             "teams" to candidate.teams?.size,
@@ -108,7 +108,7 @@
         listeners.forEach { it() }
     }
 
-    /** Learns of an era of the store. In a new one, confirmations count only once the operator has had time to write. */
+    /** Learns of an era of the store. In a new one, confirmations count once the operator has had time to write. */
     fun learnEra(known: Long) {
         val before = era
         if (before == null || known > before) {
--- a/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/EndpointView.kt
@@ -47,7 +47,9 @@
     private fun entriesChanged() {
         val current = entries.values.values.associateBy { it.name }
         val now = context.now()
-        val newEra = isNewEra()
+        val previousEra = era
+        era = StoreVersion(entries.revision).era
+        val newEra = previousEra != null && era != previousEra
         if (newEra) eraChangedAt = now
         val previous = grace.noticedAt.keys
         grace = RemovalPolicy.update(grace, known, current, now) { endpoint ->
@@ -70,13 +72,12 @@
         }
     }
 
-    private fun isNewEra(): Boolean {
-        val previous = era
-        era = StoreVersion(entries.revision).era
-        return previous != null && era != previous
-    }
-
-    private fun followDepartures(current: Map<EndpointName, Endpoint>, kept: Set<Endpoint>, newEra: Boolean, now: Instant) {
+    private fun followDepartures(
+        current: Map<EndpointName, Endpoint>,
+        kept: Set<Endpoint>,
+        newEra: Boolean,
+        now: Instant,
+    ) {
         val before = departed
         departed = if (newEra) {
             val heard = known.values.filter { InFlight.key(it.name) in departures.heard }
@@ -85,7 +86,11 @@
             before.changed(known, current, kept, now)
         }
         (departed.held.keys - before.held.keys).forEach {
-            context.log.record("endpoint_held_as_left", "endpoint" to it, "revision" to entries.revision)
+            context.log.record(
+                "endpoint_held_as_left",
+                "endpoint" to it,
+                "revision" to StoreVersion.label(entries.revision)
+            )
         }
     }
 
@@ -108,7 +113,9 @@
      * store came back from a copy that shows it as usable. Endpoints that are kept without an entry are not concerned:
      * this router's list shows that they have none.
      */
-    fun hasLeft(endpoint: Endpoint): Boolean = departed.holds(endpoint, context.now()) || departures.heard.isNotEmpty() && endpoint.name in known &&
+    fun hasLeft(
+        endpoint: Endpoint
+    ): Boolean = departed.holds(endpoint, context.now()) || departures.heard.isNotEmpty() && endpoint.name in known &&
         departures.hasLeft(InFlight.key(endpoint.name), entries.revision, context.now())
 
     /** True if [endpoint] is still cold at [now], by its last report of the remaining cold time. */
--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -7,6 +7,7 @@
 import comfreypath.router.RouterContext
 import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKind
+import comfreypath.router.store.ObjectPage
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoreReachability
@@ -180,11 +181,8 @@
         val startedAt = context.now()
         do {
             val page = store.list(kind, next, allowStale)
-                .fold(success = { it }, failure = { if (regular) failed("list", it) else null }) ?: return null
-            if (revision != null && StoreVersion(revision).era != StoreVersion(page.revision).era) {
-                context.log.record("list_across_eras", "kind" to kind.label)
-                return null
-            }
+                .fold(success = { it }, failure = { if (regular) failed("list", it) else null })
+                ?.takeIf { it.continues(revision) } ?: return null
             objects += page.objects
             revision = minOf(revision ?: page.revision, page.revision)
             next = page.next
@@ -249,3 +247,7 @@
         unavailableSince = null
     }
 }
+
+/** False if the store has come back from a copy between the pages of a list, of which the last was at [revision]. */
+private fun ObjectPage<*>.continues(revision: Long?): Boolean =
+    revision == null || StoreVersion(revision).isOfSameEra(StoreVersion(this.revision))
--- a/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreSink.kt
@@ -63,7 +63,11 @@
         stored.value.fold(
             success = { view.update(it, stored.revision, confirmedAt, stored.document) },
             failure = {
-                context.log.record("configuration_unreadable", "reason" to it, "revision" to stored.revision)
+                context.log.record(
+                    "configuration_unreadable",
+                    "reason" to it,
+                    "revision" to StoreVersion.label(stored.revision)
+                )
             },
         )
     }
