--- a/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
+++ b/router/src/main/kotlin/comfreypath/router/view/StoreFollower.kt
@@ -1,11 +1,13 @@
 package comfreypath.router.view
 
 import com.github.michaelbull.result.fold
+import comfreypath.coordination.facts.StoreVersion
 import comfreypath.coordination.fleet.KindDigest
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.router.RouterContext
 import comfreypath.router.launchLoop
 import comfreypath.router.store.ObjectKind
+import comfreypath.router.store.ObjectPage
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoreReachability
@@ -179,7 +181,8 @@
         val startedAt = context.now()
         do {
             val page = store.list(kind, next, allowStale)
-                .fold(success = { it }, failure = { if (regular) failed("list", it) else null }) ?: return null
+                .fold(success = { it }, failure = { if (regular) failed("list", it) else null })
+                ?.takeIf { it.continues(revision) } ?: return null
             objects += page.objects
             revision = minOf(revision ?: page.revision, page.revision)
             next = page.next
@@ -244,3 +247,7 @@
         unavailableSince = null
     }
 }
+
+/** False if the store has come back from a copy between the pages of a list, of which the last was at [revision]. */
+private fun ObjectPage<*>.continues(revision: Long?): Boolean =
+    revision == null || StoreVersion(revision).isOfSameEra(StoreVersion(this.revision))
--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -31,6 +31,12 @@
     /** Listens on [address] and returns the bound address. */
     suspend fun start(address: Address): Address = server.start(address)
 
+    /** The revision of the latest change. */
+    val revision: Long get() = objects.revision
+
+    /** The names of the objects of [kind]. */
+    fun names(kind: String): List<String> = objects.list(kind).map { it.name }
+
     /** Stops and aborts the calls in progress. */
     suspend fun stop() = server.stop()
 
@@ -43,6 +49,10 @@
         if (newFaults.forgetHistory) {
             objects.forgetHistory()
         }
+        objects.nameEras(newFaults.firstEra)
+        if (newFaults.stepBackTo > 0) {
+            objects.stepBack(newFaults.stepBackTo)
+        }
     }
 
     /** Creates or replaces an object as another writer does; [spec] appears unchanged in all responses. */
@@ -74,7 +84,8 @@
         )
     }
 
-    private suspend fun handleCall(parts: List<String>, request: IncomingRequest, writer: ResponseWriter) {
+    private suspend fun handleCall(parts: List<String>, request: IncomingRequest, plainWriter: ResponseWriter) {
+        val writer = EraNamingWriter(plainWriter) { faults.namedEra ?: objects.era }
         val kind = parts.first()
         if (faults.outage || faults.silentKind == kind) {
             awaitCancellation()
