--- a/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/verdict/AttemptOutcome.kt
@@ -10,7 +10,9 @@
      * @property endpointFailed false if the reason lies with the caller or its time, so that it shows nothing about the
      * endpoint
      */
-    data class NotSent(val reason: String, val endpointFailed: Boolean = true) : AttemptOutcome
+    data class NotSent(val reason: String, val endpointFailed: Boolean = true) : AttemptOutcome {
+        override fun toString(): String = "NotSent(reason=$reason)"
+    }
 
     /** No byte was sent, since the endpoint had announced meanwhile that it takes no request now, or any more. */
     data object Withheld : AttemptOutcome
