Let a candidate tell the pace of its endpoint

The parts of a selection need the expected duration of work at an endpoint relative to usual. Nothing sets the two fields yet, so no decision changes.

--- a/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/placement/Placement.kt
@@ -27,12 +27,16 @@
  *
  * @property load the number of requests that all routers have reported to have in flight at the endpoint
  * @property estimate the load now, if the reports have an age
+ * @property pace the expected duration of work at the endpoint now, relative to usual; 1 where nothing is told
+ * @property tellsPace whether the endpoint tells how long work takes
  */
 class Candidate(
     val endpoint: Endpoint,
     val nameHash: Long,
     val load: Int,
     val estimate: LoadEstimate = LoadEstimate(load.toDouble()),
+    val pace: Double = 1.0,
+    val tellsPace: Boolean = false,
 )
 
 /** The mean estimated load of the candidates; 0 if the list is empty. */
