Admit by work where endpoints tell the pace of their machines

Cause: admission of a full service knew one hold time for all kinds of requests, and counted requests, not work.

Change: ServiceAdmission asks RoomPolicy for services whose endpoints tell their pace, with the hold time of each route (its latency target until ten samples), the projected loads of the endpoints and the age of the peers' reports. A request that was admitted once and goes to a second endpoint is decided by OverloadPolicy, as are all other services. A line room_refused and a counter by route and reason show threshold, team's share and retry-after.

Nothing sets tellsPace yet, so that callers see no change until it is joined with the reading of the pace.

--- a/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/EndpointSelector.kt
@@ -27,7 +27,7 @@
     private val gate = EndpointGate(context, view, trackers.endpoints.announcements, trackers.endpoints.limits)
     private val loads = EndpointLoads(trackers.endpoints, peers)
     private val eligibility = EligibleEndpoints(context, view, trackers, peers, gate, loads)
-    private val admission = ServiceAdmission(context, trackers.progress)
+    private val admission = ServiceAdmission(context, trackers.progress, peers)
     private val placement = EndpointPlacement(context, trackers, gate, loads)
 
     /** True if the endpoint of an earlier selection is registered but gets no new requests, so none can return. */
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -56,6 +56,10 @@
     /** Endpoints that have named the request rate which they take from all routers. */
     val endpointsLimited: Gauge = gauge("comfreypath_endpoints_limited", "Endpoints that limit their request rate.")
 
+    /** Requests refused because the room at their service is too small, by route and reason. */
+    val roomRefused: Counter =
+        counter("comfreypath_room_refused_total", "Requests refused as room is too small.", "route", "reason")
+
     /** Requests refused because the rates of all endpoints that could take them were used up, by route. */
     val allEndpointsLimited: Counter =
         counter("comfreypath_all_endpoints_limited_total", "Requests refused as endpoints limit their rate.", "route")
