--- a/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/PlatformServerStandIn.kt
@@ -20,9 +20,16 @@
 import java.time.Duration
 import java.time.Instant
 import java.time.InstantSource
+import kotlin.math.roundToLong
 
 private const val TOKENS_PER_EVENT = 7
 private const val RESTART_MILLISECONDS = 2_200L
+private const val SLOTS = 64
+private const val PERCENT = 100.0
+private const val MAX_PACE = 1_000.0
+
+/** The paces, in percent, at which a stand-in works; it tells others without working at them. */
+private val PACES = 1.0..MAX_PACE
 private const val MAX_BODY_BYTES = 8_388_608
 
 /**
@@ -45,6 +52,8 @@
  * @property retryAfter the `Retry-After` value of the refusal with which a request begins a pause for its sender, which
  * lasts for that many seconds; a value that is no such number begins none. Null to begin no more pauses
  * @property rateLimit the `Server-Limit` value that all responses name; null to name none. Nothing is refused for it
+ * @property pace the fourth figure of the load in all responses, in percent; also work takes that many times longer.
+ * Null to tell three figures
  * @property pauseAfterEvents makes each new stream pause once after this many events, for [pauseMilliseconds]
  * @property pauseMilliseconds how long a stream pauses after [pauseAfterEvents]
  */
@@ -66,6 +75,7 @@
     val leaving: Boolean = false,
     val retryAfter: String? = null,
     val rateLimit: String? = null,
+    val pace: String? = null,
 )
 
 /**
@@ -109,6 +119,7 @@
     private val senderPauses = SenderPauses()
     private var faults = PlatformServerFaults()
     private var inFlight = 0
+    private val load: String get() = listOfNotNull("$inFlight,0,$SLOTS", faults.pace).joinToString(",")
     private val announcement: Map<String, String>
         get() = listOfNotNull(
             (PlatformHeaders.LEAVING to "1").takeIf { faults.leaving },
@@ -190,7 +201,7 @@
             val headers = mapOf(
                 PlatformHeaders.REQUEST_ID to id,
                 PlatformHeaders.ENDPOINT to name,
-                PlatformHeaders.LOAD to "$inFlight,0,64",
+                PlatformHeaders.LOAD to load,
                 "Keep-Alive" to "timeout=5",
             ) + announcement + if (faults.unsigned) emptyMap() else mapOf(PlatformHeaders.SIGNATURE to signature(id))
             when {
@@ -207,8 +218,12 @@
         }
     }
 
+    /** How long work takes that usually takes [milliseconds]. */
+    private fun atPace(milliseconds: Long): Long = faults.pace?.toDoubleOrNull()?.takeIf { it in PACES }
+        ?.let { (milliseconds * it / PERCENT).roundToLong() } ?: milliseconds
+
     private suspend fun respond(id: String, headers: Map<String, String>, writer: ResponseWriter) {
-        delay(faults.workMilliseconds ?: workMilliseconds)
+        delay(atPace(faults.workMilliseconds ?: workMilliseconds))
         if (faults.abortResponses) writer.abort() else writer.respond(HttpResponseStatus.OK, headers, responseBody(id))
     }
 
@@ -226,7 +241,7 @@
         val last = eventCount(request)
         writer.start(HttpResponseStatus.OK, headers + ("Content-Type" to "text/event-stream"))
         for (number in first..last) {
-            delay(faults.eventMilliseconds ?: eventMilliseconds)
+            delay(atPace(faults.eventMilliseconds ?: eventMilliseconds))
             if (number - first >= (faults.abortAfterEvents ?: last)) {
                 if (faults.truncateEvent) writer.writeChunk("id: $number\nda".encodeToByteArray())
                 delay(eventMilliseconds)
