--- a/coordination/src/test/kotlin/comfreypath/coordination/health/OutlierDetectorTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/health/OutlierDetectorTest.kt
@@ -37,6 +37,17 @@
         expectThat(state.isEjected(start.plusMillis(601))).isTrue()
     }
 
+    @Test
+    fun `an endpoint that tells that it is slow is ejected only after more silences`() {
+        fun ejectedAfter(silences: Int, patience: Double) = (0 until silences)
+            .fold(HealthState()) { state, number ->
+                detector.after(state, HealthEvidence.SILENT, start.plusMillis(number * 100L), patience)
+            }.ejections > 0
+        expectThat(ejectedAfter(2, patience = 1.0)).isTrue()
+        expectThat(ejectedAfter(3, patience = 2.5)).isFalse()
+        expectThat(ejectedAfter(5, patience = 2.5)).isTrue()
+    }
+
     @Test
     fun `an endpoint that fails nearly half of its requests while its health check passes is not ejected`() {
         val mixed = List(40) { if (it % 7 < 3) HealthEvidence.FAILED else HealthEvidence.ANSWERED }
--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
@@ -81,6 +81,16 @@
         expectThat(reasons).containsExactly(WaitReason.NO_TIME_LEFT)
     }
 
+    @Test
+    fun `a request stays longer at an endpoint that tells that work takes longer`() {
+        val now = sentAt.plusMillis(1_200)
+        val decision = StallPolicy.decide(state(), sentAt, now, patience = 2.5) { error("reserved for nothing") }
+        expectThat(decision).isEqualTo(StallDecision.KeepWaiting(Duration.ofMillis(1_300), null))
+        val limit = sentAt.plusMillis(2_500)
+        val later = StallPolicy.decide(state(), sentAt, limit, patience = 2.5) { Alternative.RESERVED }
+        expectThat(later).isEqualTo(StallDecision.MoveOn)
+    }
+
     @Test
     fun `an endpoint that is not awaited does not count as silent`() {
         val decision = StallPolicy.decide(state(), null, sentAt.plusSeconds(3)) { error("reserved for nothing") }
