--- a/daemon/src/test/kotlin/comfreypath/daemon/StoreEraTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/StoreEraTest.kt
@@ -106,7 +106,9 @@
         eventually("no request at the servers that leave") { arrivals(first) + arrivals(second) == 0 }
         copy.restore()
         awaitChangesOfNewEra()
-        repeat(5) { expectThat(arrivals(first) + arrivals(second)).describedAs("requests at servers that left").isEqualTo(0) }
+        repeat(5) {
+            expectThat(arrivals(first) + arrivals(second)).describedAs("requests at servers that left").isEqualTo(0)
+        }
         fleet.storeAdmin.updateRegistration(second.endpoint.copy(coldMilliseconds = 1))
         eventually("requests at a server that has written again") { arrivals(second) > 0 }
     }
@@ -123,7 +125,7 @@
     }
 
     @Test
-    fun `a data centre stays evacuated although the store has lost the order, until it is taken back`() = fixture().run {
+    fun `a data centre stays evacuated although the store has lost the order, until it is back`() = fixture().run {
         val evacuated = fleet.plainServers.first()
         val copy = copy()
         fleet.storeAdmin.setEvacuated(evacuated.endpoint.dataCentre, true)
