Show that clients with many or odd header lines end a router

Operators report clients that they do not control and that ended a process with requests of legal size.

--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -8,12 +8,14 @@
 import java.util.concurrent.TimeUnit
 
 private const val EXIT_SECONDS = 10L
+private const val BYTES_PER_KIBIBYTE = 1_024L
 
 /**
  * A router in a process of its own, with the memory that `deploy/system.toml` gives it.
  *
  * @param store the address of the object store
  * @param settings further settings, by name
+ * @param memory flags that lower the memory of the deployment
  * @param mainClass the class that runs the router
  */
 internal class RouterProcess(
@@ -21,13 +23,14 @@
     name: String = "router-process",
     settings: Map<String, String> = emptyMap(),
     mainClass: String = "comfreypath.daemon.MainKt",
+    memory: List<String> = emptyList(),
 ) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
 
     private val output: File = Files.createTempFile("router-process", ".log").toFile()
     private val process: Process = ProcessBuilder(
-        listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags +
+        listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags + memory +
             listOf("-cp", System.getProperty("java.class.path"), mainClass, "router") +
             mapOf(
                 "name" to name,
@@ -47,6 +50,14 @@
     /** The exit status; null while the process runs. */
     val exitStatus: Int? get() = if (process.isAlive) null else process.exitValue()
 
+    /** The most memory, in bytes, that the process has held so far. */
+    val peakMemoryBytes: Long
+        get() = File("/proc/${process.pid()}/status").readLines().first { it.startsWith("VmHWM:") }
+            .filter { it.isDigit() }.toLong() * BYTES_PER_KIBIBYTE
+
+    /** The number of file descriptors that are open. */
+    val openDescriptors: Int get() = File("/proc/${process.pid()}/fd").list().orEmpty().size
+
     /** What the process has written. */
     val log: String get() = output.readText()
 
