--- a/coordination/src/main/kotlin/comfreypath/coordination/room/ServiceRoom.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/room/ServiceRoom.kt
@@ -50,7 +50,7 @@
          * @param peers the number of other routers
          * @param reportAge the mean age of their reports
          */
-        fun of(endpoints: List<EndpointRoom>, own: Int, peers: Int, reportAge: Duration, pace: Double): ServiceRoom {
+        fun of(endpoints: List<EndpointLoad>, own: Int, peers: Int, reportAge: Duration, pace: Double): ServiceRoom {
             val slots = endpoints.sumOf { it.slots }
             val known = endpoints.sumOf { it.load }
             val alone = peers > 0 && reportAge > maxReportAge
@@ -75,4 +75,4 @@
  * @property load the expected number of requests, running or queued, of all routers
  * @property slots the requests that it runs concurrently
  */
-data class EndpointRoom(val load: Double, val slots: Int)
+data class EndpointLoad(val load: Double, val slots: Int)
--- a/coordination/src/test/kotlin/comfreypath/coordination/room/ReplayPolicies.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/room/ReplayPolicies.kt
@@ -50,7 +50,7 @@
                 jitter = jitter,
             ),
             ServiceRoom.of(
-                room.map { EndpointRoom(it.expected, RoomReplay.SLOTS) },
+                room.map { EndpointLoad(it.expected, RoomReplay.SLOTS) },
                 own.values.sum(),
                 peers = RoomReplay.ROUTERS - 1,
                 reportAge = RoomReplay.milliseconds(250),
--- a/coordination/src/test/kotlin/comfreypath/coordination/room/RoomPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/room/RoomPolicyTest.kt
@@ -32,7 +32,7 @@
     )
 
     private fun room(load: Int) = ServiceRoom.of(
-        listOf(EndpointRoom(load.toDouble(), slots = 10)),
+        listOf(EndpointLoad(load.toDouble(), slots = 10)),
         own = load,
         peers = 0,
         reportAge = Duration.ZERO,
@@ -110,7 +110,7 @@
     @Test
     fun `without reports each router keeps to its share of the slots`() {
         val alone = ServiceRoom.of(
-            listOf(EndpointRoom(load = 3.0, slots = 10)),
+            listOf(EndpointLoad(load = 3.0, slots = 10)),
             own = 3,
             peers = 4,
             reportAge = Duration.ofSeconds(10),
--- a/router/src/main/kotlin/comfreypath/router/request/ServiceAdmission.kt
+++ b/router/src/main/kotlin/comfreypath/router/request/ServiceAdmission.kt
@@ -10,7 +10,7 @@
 import comfreypath.coordination.placement.Candidate
 import comfreypath.coordination.placement.hashOf
 import comfreypath.coordination.placement.mix
-import comfreypath.coordination.room.EndpointRoom
+import comfreypath.coordination.room.EndpointLoad
 import comfreypath.coordination.room.RoomDecision
 import comfreypath.coordination.room.RoomPolicy
 import comfreypath.coordination.room.RoomRequest
@@ -51,7 +51,7 @@
 
     private fun byRoom(exchange: CallerExchange, service: ServiceName, candidates: List<Candidate>): Admission {
         val room = ServiceRoom.of(
-            endpoints = candidates.map { EndpointRoom(it.estimate.expected, it.endpoint.slots) },
+            endpoints = candidates.map { EndpointLoad(it.estimate.expected, it.endpoint.slots) },
             own = progress.inProgress(service),
             peers = peers.names.size,
             reportAge = peers.loadsAge,
