--- a/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/ObjectStoreStandIn.kt
@@ -49,7 +49,7 @@
         if (newFaults.forgetHistory) {
             objects.forgetHistory()
         }
-        objects.nameEras(newFaults.firstEra)
+        objects.era = maxOf(objects.era, newFaults.firstEra)
         if (newFaults.stepBackTo > 0) {
             objects.stepBack(newFaults.stepBackTo)
         }
--- a/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
+++ b/stand-ins/src/main/kotlin/comfreypath/standins/StoredObjects.kt
@@ -63,12 +63,6 @@
 
     /** How often the store has come back from a copy, counted from the first era; 0 if it names none. */
     var era: Long = 0
-        private set
-
-    /** Names eras from [first] on. */
-    fun nameEras(first: Long) {
-        era = maxOf(era, first)
-    }
 
     /** Comes back from a copy of [copied], an earlier revision: the later ones are lost, and given out again. */
     fun stepBack(copied: Long) {
