--- a/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/verdict/StallPolicyTest.kt
@@ -106,10 +106,11 @@
     @Test
     fun `a request stays longer at an endpoint that tells that work takes longer`() {
         val now = sentAt.plusMillis(1_200)
-        val decision = StallPolicy.decide(state(), sentAt, now, Suspicion(patience = 2.5)) { error("reserved for nothing") }
+        val slow = Suspicion(patience = 2.5)
+        val decision = StallPolicy.decide(state(), sentAt, now, slow) { error("reserved for nothing") }
         expectThat(decision).isEqualTo(StallDecision.KeepWaiting(Duration.ofMillis(1_300), null))
         val limit = sentAt.plusMillis(2_500)
-        val later = StallPolicy.decide(state(), sentAt, limit, Suspicion(patience = 2.5)) { Alternative.RESERVED }
+        val later = StallPolicy.decide(state(), sentAt, limit, slow) { Alternative.RESERVED }
         expectThat(later).isEqualTo(StallDecision.MoveOn)
     }
 
