Create metered headers in one factory

RequestMemory and ResponseHeadMemory each had a factory of their own.

UntrustedClientsTest was not run again after this change.

--- a/daemon/src/test/kotlin/comfreypath/daemon/UntrustedClientsTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/UntrustedClientsTest.kt
@@ -83,18 +83,20 @@
             RawEndpoint(::respond).use { raw ->
                 usePlainServer(raw)
                 fleet.storeAdmin.updateConfiguration { it.copy(limits = patientLimits) }
-                RouterProcess(fleet.storeAddress, memory = memory).use { process ->
-                    val target = Target(this, process)
-                    eventually("the process serves") { target.status("probe") == 200 }
-                    try {
-                        target.test()
-                    } finally {
-                        released.countDown()
-                    }
-                }
+                RouterProcess(fleet.storeAddress, memory = memory).use { testWith(it, test) }
             }
         }
 
+    private suspend fun PlatformFixture.testWith(process: RouterProcess, test: suspend Target.() -> Unit) {
+        val target = Target(this, process)
+        eventually("the process serves") { target.status("probe") == 200 }
+        try {
+            target.test()
+        } finally {
+            released.countDown()
+        }
+    }
+
     @Test
     fun `a single request of many lines is served`() = withRouter {
         ClientCrowd(process.callerAddress, 1).use { client ->
--- a/transport/src/main/kotlin/comfreypath/transport/RequestMemory.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestMemory.kt
@@ -29,10 +29,12 @@
     val unfinishedBytes: Long get() = (receiving?.head?.bytes ?: 0) + (input?.head?.bytes ?: 0)
 
     /** Creates the headers of the next request. */
-    val headersFactory: HttpHeadersFactory = HeadersFactory(DefaultHttpHeadersFactory.headersFactory()) { begin() }
+    val headersFactory: HttpHeadersFactory =
+        MeteredHeadersFactory(DefaultHttpHeadersFactory.headersFactory(), ::reserve, ::begin) { headers += it }
 
     /** Creates the trailers of the request that is being received. */
-    val trailersFactory: HttpHeadersFactory = HeadersFactory(DefaultHttpHeadersFactory.trailersFactory()) { }
+    val trailersFactory: HttpHeadersFactory =
+        MeteredHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), ::reserve) { headers += it }
 
     private fun begin() {
         discard()
@@ -88,16 +90,4 @@
         discard()
         holdInput(0)
     }
-
-    private inner class HeadersFactory(
-        private val validation: DefaultHttpHeadersFactory,
-        private val onMessage: () -> Unit,
-    ) : HttpHeadersFactory {
-        override fun newHeaders(): MeteredHeaders {
-            onMessage()
-            return MeteredHeaders(validation, ::reserve).also { headers += it }
-        }
-
-        override fun newEmptyHeaders() = newHeaders()
-    }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ResponseHeadMemory.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ResponseHeadMemory.kt
@@ -8,10 +8,12 @@
     private var account = budget.open()
 
     /** Creates the headers of the next response. */
-    val headersFactory: HttpHeadersFactory = HeadersFactory(DefaultHttpHeadersFactory.headersFactory()) { release() }
+    val headersFactory: HttpHeadersFactory =
+        MeteredHeadersFactory(DefaultHttpHeadersFactory.headersFactory(), ::reserve, onHeaders = ::release)
 
     /** Creates the trailers of a response. */
-    val trailersFactory: HttpHeadersFactory = HeadersFactory(DefaultHttpHeadersFactory.trailersFactory()) { }
+    val trailersFactory: HttpHeadersFactory =
+        MeteredHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), ::reserve)
 
     /** Gives the memory of the latest head back. */
     fun release() {
@@ -22,16 +24,4 @@
     private fun reserve(count: Int) {
         if (!account.add(count)) throw HeadOutOfMemoryException()
     }
-
-    private inner class HeadersFactory(
-        private val validation: DefaultHttpHeadersFactory,
-        private val onMessage: () -> Unit,
-    ) : HttpHeadersFactory {
-        override fun newHeaders(): MeteredHeaders {
-            onMessage()
-            return MeteredHeaders(validation, ::reserve)
-        }
-
-        override fun newEmptyHeaders() = newHeaders()
-    }
 }
