Divide the room of a service only while it is too small

Cause: each request to a service whose endpoints tell their pace computed the shares of all teams, also while places were free and the result decided nothing.

Change: a request that has a place is admitted before the shares are computed; what is offered is still measured. The decisions are the same: RoomPolicyTest, RoomReplayTest, WorkSharesTest and ServiceAdmissionTest pass unchanged.

--- a/coordination/src/main/kotlin/comfreypath/coordination/room/RoomPolicy.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/room/RoomPolicy.kt
@@ -57,6 +57,11 @@
         val excess = excess(offered, room, meanWork, now)
         val elapsed = state.at?.let { maxOf(Duration.ZERO, Duration.between(it, now)) }
         val observed = observe(offered, elapsed, room, excess, meanWork)
+        val returning = waited > Duration.ZERO && !state.isEarly(request, now)
+        if (room.hasPlaceFor(request.jitter)) {
+            val known = observed.withoutReturn(request.identity)
+            return RoomDecision(known, Admission.Admitted, servedShare = 1.0, flowShare = 1.0, returning = returning)
+        }
         val rates = observed.offeredRates(now, options.memory)
         val served = servedShare(observed, room, excess, rates.values.sum())
         val flow = request.flow.takeIf { it in rates } ?: request.flow.copy(team = null)
@@ -64,23 +69,14 @@
         val share = shares.getValue(flow)
         val wait = meanWork * room.pace * room.shortestQueue * notLessUrgent(rates, shares, request.priority)
         val earliest = responseTime.plusMillis(wait.toLong())
-        val offer =
-            Offer(
-                request,
-                FlowOffer(flow, share, rates.getValue(flow)),
-                work,
-                unit,
-                waited,
-                state.isEarly(request, now)
-            )
-        val (next, admission) = when {
-            room.hasPlaceFor(request.jitter) -> observed to Admission.Admitted
-            earliest > request.timeLeft ->
-                refuse(observed, offer, RefusalReason.TOO_LATE, now)
-            else -> byCredit(observed, offer, late = waited + earliest > request.target, now)
+        val offer = Offer(request, FlowOffer(flow, share, rates.getValue(flow)), work, unit, waited, returning)
+        val (next, admission) = if (earliest > request.timeLeft) {
+            refuse(observed, offer, RefusalReason.TOO_LATE, now)
+        } else {
+            byCredit(observed, offer, late = waited + earliest > request.target, now)
         }
         val known = if (admission == Admission.Admitted) next.withoutReturn(request.identity) else next
-        return RoomDecision(known, admission, served, share, offer.returning)
+        return RoomDecision(known, admission, served, share, returning)
     }
 
     /** The flow of a request, the part of its work that is served, and the work per time that it offers, in slots. */
@@ -93,10 +89,8 @@
         val work: Double,
         val unit: Double,
         val waited: Duration,
-        val early: Boolean,
-    ) {
-        val returning get() = waited > Duration.ZERO && !early
-    }
+        val returning: Boolean,
+    )
 
     private fun byCredit(state: RoomState, offer: Offer, late: Boolean, now: Instant): Pair<RoomState, Admission> {
         val known = state.flows.getValue(offer.flow.key)
