List the settings of the operators' bounds once

The list of bounds with defaults repeated the end of the list of all settings. Names and order are as before: RouterSettingNamesTest, RouterSettingsTest, SettingsTemplateTest and CommandHelpTest pass unchanged.

--- a/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
+++ b/daemon/src/main/kotlin/comfreypath/daemon/settings/RouterSettings.kt
@@ -107,6 +107,18 @@
         range = ROLLOUT_SLACK_RANGE,
     )
 
+    /** The operators' bounds, which a deployment may leave out. */
+    private val boundSettings: List<Setting<*>> = listOf(
+        grace,
+        configurationBound,
+        revocationBound,
+        retryShare,
+        retrySlack,
+        retryWindow,
+        rolloutShare,
+        rolloutSlack,
+    )
+
     /** All settings, in the order of the help text. */
     val all: List<Setting<*>> = listOf(
         name,
@@ -119,26 +131,7 @@
         objectStore,
         peers,
         traceCollector,
-        grace,
-        configurationBound,
-        revocationBound,
-        retryShare,
-        retrySlack,
-        retryWindow,
-        rolloutShare,
-        rolloutSlack,
-    )
-
-    private val boundSettings: List<Setting<*>> = listOf(
-        grace,
-        configurationBound,
-        revocationBound,
-        retryShare,
-        retrySlack,
-        retryWindow,
-        rolloutShare,
-        rolloutSlack,
-    )
+    ) + boundSettings
 
     /** The operators' bounds that [raw] does not set and whose defaults apply, by setting name. */
     private fun defaultedBounds(raw: RawSettings): Map<String, String> =
