--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -31,6 +31,9 @@
         # HELP comfreypath_crashes_observed_total Crashes of endpoints observed.
         # TYPE comfreypath_crashes_observed_total counter
         comfreypath_crashes_observed_total 8.0
+        # HELP comfreypath_data_centre_outages_total Data centres left out as unreachable.
+        # TYPE comfreypath_data_centre_outages_total counter
+        comfreypath_data_centre_outages_total{data_centre="south"} 16.0
         # HELP comfreypath_endpoint_announcements_total Announcements of endpoints.
         # TYPE comfreypath_endpoint_announcements_total counter
         comfreypath_endpoint_announcements_total{kind="pause"} 13.0
@@ -83,9 +86,18 @@
         # HELP comfreypath_rollout_requests_total Requests during rollouts.
         # TYPE comfreypath_rollout_requests_total counter
         comfreypath_rollout_requests_total{service="model",target="true"} 8.0
+        # HELP comfreypath_room_refused_total Requests refused as room is too small.
+        # TYPE comfreypath_room_refused_total counter
+        comfreypath_room_refused_total{reason="over_share",route="r-1"} 17.0
+        # HELP comfreypath_store_answers_of_earlier_eras_total Answers of earlier eras of the store.
+        # TYPE comfreypath_store_answers_of_earlier_eras_total counter
+        comfreypath_store_answers_of_earlier_eras_total 19.0
         # HELP comfreypath_store_calls_total Calls to the store.
         # TYPE comfreypath_store_calls_total counter
         comfreypath_store_calls_total{kind="endpoints",outcome="answered",verb="list"} 6.0
+        # HELP comfreypath_store_era Era of the store.
+        # TYPE comfreypath_store_era gauge
+        comfreypath_store_era 2.0
         # HELP comfreypath_task_failures_total Background tasks failed.
         # TYPE comfreypath_task_failures_total counter
         comfreypath_task_failures_total{task="sweep"} 8.0
@@ -100,6 +112,10 @@
         metrics.allEndpointsOut.labelValues("r-1").inc(12)
         metrics.allEndpointsLimited.labelValues("r-1").inc(14)
         metrics.endpointsLimited.set(15.0)
+        metrics.dataCentreOutages.labelValues("south").inc(16)
+        metrics.roomRefused.labelValues("r-1", "over_share").inc(17)
+        metrics.storeEra.set(2.0)
+        metrics.storeAnswersOfEarlierEras.inc(19)
         metrics.announcements.labelValues("pause").inc(13)
         metrics.endpointsOut.labelValues("leaving").set(1.0)
         metrics.answered.labelValues("streaming", "200").inc()
