--- a/stand-ins/src/test/kotlin/comfreypath/standins/FaultsWireFormatTest.kt
+++ b/stand-ins/src/test/kotlin/comfreypath/standins/FaultsWireFormatTest.kt
@@ -18,7 +18,8 @@
     @Test
     fun `faults are read and written under these names`() {
         val store = """{"latencyMilliseconds":7,"outage":true,"silentKind":"servers","refuse":true,""" +
-            """"loseAnswersPercent":8,"silentWatches":true,"forgetHistory":true}"""
+            """"loseAnswersPercent":8,"silentWatches":true,"forgetHistory":true,""" +
+            """"firstEra":1,"stepBackTo":2,"namedEra":3}"""
         val engine = """{"slowFactor":3,"failing":true,"silent":true,"cutAfterPieces":4,"repeatPieces":true,""" +
             """"crossPieces":true,"restart":true}"""
         val service = """{"latencyMilliseconds":7,"refuse":true,"cutAfterRun":true,"silentAfterRun":true}"""
@@ -31,7 +32,8 @@
     fun `faults that are not given have these values`() {
         expectThat(defaults<StoreFaults>()).isEqualTo(
             """{"latencyMilliseconds":2,"outage":false,"silentKind":null,"refuse":false,""" +
-                """"loseAnswersPercent":0,"silentWatches":false,"forgetHistory":false}""",
+                """"loseAnswersPercent":0,"silentWatches":false,"forgetHistory":false,""" +
+                """"firstEra":0,"stepBackTo":0,"namedEra":null}""",
         )
         expectThat(defaults<EngineFaults>()).isEqualTo(
             """{"slowFactor":1,"failing":false,"silent":false,"cutAfterPieces":0,"repeatPieces":false,""" +
