Read targets and header lines as endpoints read them

Callers saw: bytes above 127 in a path reached the endpoint encoded once more; Connection: Host took the Host off the request; HTTP2-Settings was passed on; a target in absolute form got 400; negative or huge numbers of tokens counted as the work of a request.

Cause: the encoder of requests writes targets as UTF-8, which the decoder reads byte by byte; names in the Connection header were removed without a check; fields were parsed without a range.

--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiCallerDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiCallerDialect.kt
@@ -26,6 +26,8 @@
 import kotlinx.collections.immutable.toImmutableList
 import java.time.Instant
 
+/** Larger counts are implausible. */
+private const val MAX_TOKENS = 10_000_000
 private const val CHAT_PATH = "/v1/chat/completions"
 private const val SERVICES_PATH = "/services/"
 private const val KEY_SCHEME = "Bearer "
@@ -128,7 +130,7 @@
         return Prompt(
             model = completion.model,
             promptTokens = tokens,
-            maxOutputTokens = completion.maxTokens,
+            maxOutputTokens = completion.maxTokens.coerceIn(0, MAX_TOKENS),
             parts = listOf(PromptPart(shared, tokens), PromptPart(turn, 1)).toImmutableList(),
             expectedOutputTokens = null,
         )
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.ConnectException
 import java.time.Duration
 
@@ -38,7 +37,7 @@
                     connection = HttpConnection(channel, address, heads) { decoder.partial }
                     opened = connection
                     channel.pipeline()
-                        .addLast(HttpRequestEncoder())
+                        .addLast(RequestEncoder())
                         .addLast(decoder)
                         .addLast(connection)
                 }
