Bound the queued lines of the log by their length

Callers saw: a router that hung. Requests whose ids have 15,000 bytes filled the queue of the log with long lines while its reader was stuck; the router ran out of memory, and the virtual machine waited to say so on the same pipe.

Cause: the queue was bounded by 4,096 lines, not by their text, and a line repeats what a caller chose.

Queued lines have at most 2 MiB of text, and a value 1,024 characters.

--- a/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
@@ -13,6 +13,10 @@
 import java.util.concurrent.atomic.AtomicLong
 
 private const val MAX_QUEUED_LINES = 4_096
+private const val MAX_QUEUED_CHARACTERS = 2_097_152
+
+/** Longer values, which callers may choose, are cut. */
+private const val MAX_VALUE_CHARACTERS = 1_024
 
 /** The time in which lines are collected for one write. It is the most that a crash of the process loses. */
 private const val BATCHING_MILLISECONDS = 20L
@@ -20,8 +24,8 @@
 private const val POLL_MILLISECONDS = 5L
 
 /**
- * Writes one JSON line per event. A dedicated thread writes the queued lines. While the queue is full, lines are
- * dropped and counted, so that a slow reader of the output never blocks requests.
+ * Writes one JSON line per event. A dedicated thread writes the queued lines. While the queue is full, by lines or by
+ * characters, lines are dropped and counted, so that a slow reader of the output never blocks requests.
  */
 class EventLog(private val instance: InstanceName, private val clock: InstantSource) {
     private val lines = ArrayBlockingQueue<String>(MAX_QUEUED_LINES)
@@ -30,6 +34,7 @@
 
     /** Counts a queued line until it is written. */
     private val unwrittenLines = AtomicInteger()
+    private val unwrittenCharacters = AtomicInteger()
 
     init {
         Thread(::write, "event-log").apply { isDaemon = true }.start()
@@ -39,7 +44,10 @@
     val dropped: Long get() = droppedLines.get()
 
     /** Queues a line for [event] with [fields]; fields with a null value are omitted. */
-    fun record(event: String, vararg fields: Pair<String, Any?>) {
+    fun record(event: String, vararg fields: Pair<String, Any?>) = record(event, fields.asList())
+
+    /** Queues a line for [event] with [fields]; fields with a null value are omitted. */
+    fun record(event: String, fields: List<Pair<String, Any?>>) {
         val line = buildJsonObject {
             put("time", JsonPrimitive(clock.instant().toString()))
             put("instance", JsonPrimitive(instance.text))
@@ -49,17 +57,30 @@
                     null -> Unit
                     is Number -> put(name, JsonPrimitive(value))
                     is Boolean -> put(name, JsonPrimitive(value))
-                    else -> put(name, JsonPrimitive(value.toString()))
+                    else -> put(name, JsonPrimitive(value.toString().shortened()))
                 }
             }
         }
+        queue(line.toString())
+    }
+
+    private fun queue(line: String) {
         unwrittenLines.incrementAndGet()
-        if (!lines.offer(line.toString())) {
-            unwrittenLines.decrementAndGet()
+        val fits = unwrittenCharacters.addAndGet(line.length) <= MAX_QUEUED_CHARACTERS
+        if (!fits || !lines.offer(line)) {
+            written(lines = 1, characters = line.length)
             droppedLines.incrementAndGet()
         }
     }
 
+    private fun written(lines: Int, characters: Int) {
+        unwrittenLines.addAndGet(-lines)
+        unwrittenCharacters.addAndGet(-characters)
+    }
+
+    private fun String.shortened(): String =
+        if (length <= MAX_VALUE_CHARACTERS) this else take(MAX_VALUE_CHARACTERS) + "..."
+
     /** Waits until all queued lines are written, but not longer than [limit]. */
     suspend fun awaitWritten(limit: Duration) {
         withTimeoutOrNull(limit.toMillis()) {
@@ -74,7 +95,7 @@
             Thread.sleep(BATCHING_MILLISECONDS)
             lines.drainTo(batch)
             Logger.info(batch.joinToString("\n"))
-            unwrittenLines.addAndGet(-batch.size)
+            written(batch.size, batch.sumOf { it.length })
             batch.clear()
             val drops = dropped
             if (drops > reportedDrops && lines.isEmpty()) {
