Draw all servers of a router from one budget of memory and connections

Callers saw: a router that ended. 600 unfinished heads of short lines, or 300 unfinished bodies, at the address of the readiness check, the routers or the metrics ended it; 1,300 connections left at each of four addresses took over 3,900 descriptors; 250 streams that their callers did not read ended it with a heap of 40 MB; while 2,900 bodies of 8,000 bytes had stopped before their end, a new body of that size got 503 twelve times of twelve.

Cause: only the server for callers drew from the budget; parts of streams were bounded for each connection alone; an unfinished request was refused only for a smaller one.

All servers draw from one BodyMemory, with the connections to endpoints in one ConnectionBudget. Without a larger request, the one that has held most for longest is refused for a new one. Streams take their memory from the budget of responses, and are read from endpoints as fast as callers read.

--- a/daemon/src/test/kotlin/comfreypath/daemon/ClientCrowd.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/ClientCrowd.kt
@@ -2,13 +2,37 @@
 
 import comfreypath.transport.Address
 import java.io.Closeable
+import java.net.InetSocketAddress
 import java.net.Socket
 
+private const val CONNECT_TIMEOUT_MILLISECONDS = 5_000
+private const val MAX_FAILED_CONNECTS = 3
 private const val READ_TIMEOUT_MILLISECONDS = 10_000
 
-/** Connections of clients that send bytes, read what they are asked to, and stay. */
-internal class ClientCrowd(private val address: Address, size: Int) : Closeable {
-    private val sockets = List(size) { runCatching { Socket(address.host, address.port) }.getOrNull() }.filterNotNull()
+/**
+ * Connections of clients that send bytes, read what they are asked to, and stay.
+ *
+ * @param receiveBytes the size of the receive buffer of each connection; null for the default
+ */
+internal class ClientCrowd(address: Address, size: Int, receiveBytes: Int? = null) : Closeable {
+    private val sockets = connectAll(address, size, receiveBytes)
+
+    /** Gives up after some failures, since each takes a while if the server hangs. */
+    private fun connectAll(address: Address, size: Int, receiveBytes: Int?): List<Socket> {
+        var failures = 0
+        return (0 until size).mapNotNull {
+            if (failures == MAX_FAILED_CONNECTS) {
+                null
+            } else {
+                runCatching { connect(address, receiveBytes) }.onFailure { failures += 1 }.getOrNull()
+            }
+        }
+    }
+
+    private fun connect(address: Address, receiveBytes: Int?) = Socket().apply {
+        receiveBytes?.let { receiveBufferSize = it }
+        connect(InetSocketAddress(address.host, address.port), CONNECT_TIMEOUT_MILLISECONDS)
+    }
 
     /** Sends what [text] returns for the number of each connection; a connection may have been closed by the server. */
     fun send(text: (Int) -> String) = sockets.forEachIndexed { number, socket ->
--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -17,6 +17,7 @@
  * @param settings further settings, by name
  * @param memory flags that lower the memory of the deployment
  * @param mainClass the class that runs the router
+ * @param readsOutput false to leave what the process writes unread; [log] is empty then
  */
 internal class RouterProcess(
     store: Address,
@@ -24,10 +25,20 @@
     settings: Map<String, String> = emptyMap(),
     mainClass: String = "comfreypath.daemon.MainKt",
     memory: List<String> = emptyList(),
+    private val readsOutput: Boolean = true,
 ) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
 
+    /** The address of the readiness check. */
+    val readinessAddress: Address = freeAddress()
+
+    /** The address for other routers, by TCP and UDP. */
+    val peerAddress: Address = freeAddress()
+
+    /** The address that serves metrics. */
+    val metricsAddress: Address = freeAddress()
+
     private val output: File = Files.createTempFile("router-process", ".log").toFile()
     private val process: Process = ProcessBuilder(
         listOf(File(System.getProperty("java.home"), "bin/java").path) + memoryFlags + memory +
@@ -37,12 +48,12 @@
                 "data-centre" to "south-a",
                 "interface" to "platform",
                 "listen" to callerAddress,
-                "readiness-listen" to freeAddress(),
-                "peer-listen" to freeAddress(),
-                "metrics-listen" to freeAddress(),
+                "readiness-listen" to readinessAddress,
+                "peer-listen" to peerAddress,
+                "metrics-listen" to metricsAddress,
                 "object-store" to store,
             ).plus(settings).flatMap { (setting, value) -> listOf("--$setting", "$value") },
-    ).redirectErrorStream(true).redirectOutput(output).start()
+    ).redirectErrorStream(true).apply { if (readsOutput) redirectOutput(output) }.start()
 
     /** True while the process runs. */
     val alive: Boolean get() = process.isAlive
--- a/daemon/src/test/kotlin/comfreypath/daemon/UntrustedClientsTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/UntrustedClientsTest.kt
@@ -1,21 +1,10 @@
 package comfreypath.daemon
 
-import com.github.michaelbull.result.fold
-import comfreypath.coordination.routing.CallerLimits
-import comfreypath.daemon.demo.PlatformCaller
-import comfreypath.daemon.demo.PlatformFleet
-import comfreypath.daemon.demo.PlatformRequest
-import comfreypath.platform.PlatformHeaders
 import comfreypath.standins.PlatformServerStandIn
-import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import strikt.assertions.isFalse
-import strikt.assertions.isLessThan
-import strikt.assertions.isTrue
 import java.net.Socket
-import java.time.Duration
 import java.util.concurrent.CountDownLatch
 
 /**
@@ -38,65 +27,15 @@
         socket.send(head + "X-Attempt-Id: ${request.id}\r\nContent-Length: 2\r\n\r\nok")
     }
 
-    private fun linesOf(count: Int, line: (Int) -> String) = (0 until count).joinToString("") { "${line(it)}\r\n" }
-
-    /** The request line and the headers that a request to an endpoint needs, without the end of the head. */
-    private fun requestLines(id: String, path: String = "/history/x") =
-        "GET $path HTTP/1.1\r\nHost: ${PlatformFleet.HOST}\r\n${PlatformHeaders.REQUEST_ID}: $id\r\n" +
-            "${PlatformHeaders.AUTHORIZATION}: Token ${PlatformFleet.KEY}\r\n"
-
-    private class Target(private val fixture: PlatformFixture, val process: RouterProcess) {
-        /** Sends a request on a new connection. */
-        suspend fun status(id: String): Int? = PlatformCaller(fixture.fleet.callerLoop)
-            .call(process.callerAddress, PlatformRequest("history", id)).fold({ it.status }, { null })
-
-        fun expectSound() {
-            expectThat(process.alive).describedAs("the process is alive: ${process.log.takeLast(LOG_TAIL)}").isTrue()
-            expectThat("OutOfMemoryError" in process.log).describedAs("the process ran out of memory").isFalse()
-            expectThat(process.peakMemoryBytes).describedAs("peak memory").isLessThan(MACHINE_MEMORY_BYTES)
-            expectThat(process.openDescriptors).describedAs("open descriptors").isLessThan(MACHINE_SOCKETS)
-        }
-
-        private suspend fun expectOrdinaryAnswered() {
-            val statuses = mutableListOf<Int?>()
-            while (process.alive && statuses.size < ORDINARY_ATTEMPTS && statuses.lastOrNull() != 200) {
-                statuses += status("ordinary-${statuses.size}")
-                delay(RETRY_MILLISECONDS)
+    private fun withRouter(memory: List<String> = emptyList(), test: suspend CrowdedRouter.() -> Unit) =
+        withCrowdedRouter(::respond, memory) {
+            try {
+                test()
+            } finally {
+                released.countDown()
             }
-            expectThat(statuses.lastOrNull()).describedAs("an ordinary caller beside the crowd: $statuses")
-                .isEqualTo(200)
         }
 
-        /** Expects that [act] leaves the router alive and that it answers an ordinary caller while the crowd stays. */
-        suspend fun withCrowd(size: Int, act: suspend ClientCrowd.() -> Unit) =
-            ClientCrowd(process.callerAddress, size).use { crowd ->
-                crowd.act()
-                expectSound()
-                expectOrdinaryAnswered()
-                expectSound()
-                println("crowd of $size: peak ${process.peakMemoryBytes}, descriptors ${process.openDescriptors}")
-            }
-    }
-
-    private fun withRouter(memory: List<String> = emptyList(), test: suspend Target.() -> Unit) =
-        PlatformFixture().run {
-            RawEndpoint(::respond).use { raw ->
-                usePlainServer(raw)
-                fleet.storeAdmin.updateConfiguration { it.copy(limits = patientLimits) }
-                RouterProcess(fleet.storeAddress, memory = memory).use { testWith(it, test) }
-            }
-        }
-
-    private suspend fun PlatformFixture.testWith(process: RouterProcess, test: suspend Target.() -> Unit) {
-        val target = Target(this, process)
-        eventually("the process serves") { target.status("probe") == 200 }
-        try {
-            target.test()
-        } finally {
-            released.countDown()
-        }
-    }
-
     @Test
     fun `a single request of many lines is served`() = withRouter {
         ClientCrowd(process.callerAddress, 1).use { client ->
@@ -182,18 +121,6 @@
     }
 
     private companion object {
-        /** `memory_mb` of the deployment. */
-        const val MACHINE_MEMORY_BYTES = 430_000_000L
-
-        /** `max_fds` of the deployment without those that it reserves for files. */
-        const val MACHINE_SOCKETS = 3_900
-
-        val LOW_HEAP = listOf("-Xmx40m")
-        val patientLimits = CallerLimits(headerTimeout = Duration.ofMinutes(2), idleTimeout = Duration.ofMinutes(2))
-        const val LOG_TAIL = 1_000
-        const val ORDINARY_ATTEMPTS = 12
-        const val RETRY_MILLISECONDS = 500L
-
         /** Fills 16,384 bytes almost, line ends included. */
         const val HEAD_LINES = 4_000
         const val ODD_LINES = 2_400
--- a/router/src/main/kotlin/comfreypath/router/Router.kt
+++ b/router/src/main/kotlin/comfreypath/router/Router.kt
@@ -17,6 +17,7 @@
 import comfreypath.router.request.DrainFilter
 import comfreypath.router.request.EndpointDialect
 import comfreypath.router.request.EndpointSelector
+import comfreypath.router.request.InProgressFilter
 import comfreypath.router.request.Refusal
 import comfreypath.router.request.RelayDependencies
 import comfreypath.router.request.RelayInvariants
@@ -156,6 +157,7 @@
             RouteFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
             ApiKeyFilter(view.configuration, viewUpdater.probe, stalenessLimits, ::refuse)::filter,
             drainFilter::filter,
+            InProgressFilter({ context.options.maxRequestsInProgress }, ::refuse)::filter,
         ),
         ResponseStage(context, relay::run, ::refuse)::respond,
     )
--- a/router/src/main/kotlin/comfreypath/router/RouterContext.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterContext.kt
@@ -3,8 +3,10 @@
 import comfreypath.coordination.invariant.InvariantMonitor
 import comfreypath.router.telemetry.EventLog
 import comfreypath.router.telemetry.RouterMetrics
+import comfreypath.router.telemetry.ThrottledLog
 import comfreypath.router.telemetry.Tracing
 import comfreypath.transport.BodyMemory
+import comfreypath.transport.ConnectionBudget
 import comfreypath.transport.dispatcher
 import io.netty.channel.EventLoop
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -35,16 +37,23 @@
     /** The settings in force. */
     val options: RouterOptions get() = settings.value
 
+    /** For lines that clients can cause at any rate. */
+    val throttledLog = ThrottledLog(clock) { event, fields -> log.record(event, fields) }
+
     val scope = CoroutineScope(
         loop.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { coroutine, failure ->
             val task = coroutine[CoroutineName]?.name ?: "unnamed"
             metrics.taskFailures.labelValues(task).inc()
-            log.record("task_failed", "task" to task, "error" to failure.toString())
+            throttledLog.record("task_failed", task, "task" to task, "error" to failure.toString())
         },
     )
 
-    /** Holds the bodies of callers' requests and of endpoints' responses. */
-    val memory = BodyMemory(options.requestMemoryBytes, options.responseMemoryBytes)
+    /** Bounds the requests and responses of all servers, and the connections of these and to endpoints. */
+    val memory = BodyMemory(
+        requestBytes = options.requestMemoryBytes,
+        responseBytes = options.responseMemoryBytes,
+        connections = ConnectionBudget { options.maxTotalConnections },
+    )
 
     /** Wakes the periodic tasks of this router together. */
     val ticker = SharedTicker(loop, Duration.ofMillis(TICK_MILLISECONDS), clock)
--- a/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
+++ b/router/src/main/kotlin/comfreypath/router/RouterOptions.kt
@@ -9,11 +9,22 @@
 import java.time.Duration
 
 private const val MAX_CONNECTIONS = 3_000
+private const val MAX_PEER_CONNECTIONS = 256
+private const val MAX_STATUS_CONNECTIONS = 64
+
+/** Leaves descriptors of the smallest machine, 3,900 for sockets, to the store, peers and listeners. */
+private const val MAX_TOTAL_CONNECTIONS = 3_700
+
+/** With a connection to an endpoint for each, and those at the other addresses, below the total. */
+private const val MAX_REQUESTS_IN_PROGRESS = 1_500
 
 /** The heap that bodies may fill. Sending a body takes its size again, outside the heap, until it is written. */
 private const val HEAP_PARTS = 8
 private const val REQUEST_HEAP_PARTS = 3
 private const val RESPONSE_HEAP_PARTS = 1
+
+/** The part of the heap that the latest messages of peers may fill. */
+private const val PEER_HEAP_PARTS = 16
 private const val CONNECT_MILLISECONDS = 300L
 private const val STORE_CALL_MILLISECONDS = 1_500L
 private const val WATCH_MILLISECONDS = 2_000L
@@ -37,8 +48,15 @@
  * @property peers the routers to contact at startup, in addition to those that the store lists
  * @property traceCollector the OTLP endpoint that receives spans; null disables tracing
  * @property maxConnections the maximum number of open connections from callers
+ * @property maxPeerConnections the maximum number of open connections from other routers
+ * @property maxStatusConnections the maximum number of open connections at the address of the readiness check, and at
+ * that of the metrics
+ * @property maxTotalConnections the maximum number of open connections from callers, routers and monitoring, and to
+ * endpoints, together
+ * @property maxRequestsInProgress the maximum number of requests in progress; one team has no more than are left
  * @property requestMemoryBytes the maximum size of all bodies of requests together that the router holds
  * @property responseMemoryBytes the maximum size of all bodies of responses together that the router holds
+ * @property peerMemoryBytes the maximum size of the latest messages of all peers that the router holds
  * @property defaultedBounds the bounds that the operators have not set and their defaults, for the log
  */
 data class RouterOptions(
@@ -52,8 +70,13 @@
     val peers: List<Address> = emptyList(),
     val traceCollector: String? = null,
     val maxConnections: Int = MAX_CONNECTIONS,
+    val maxPeerConnections: Int = MAX_PEER_CONNECTIONS,
+    val maxStatusConnections: Int = MAX_STATUS_CONNECTIONS,
+    val maxTotalConnections: Int = MAX_TOTAL_CONNECTIONS,
+    val maxRequestsInProgress: Int = MAX_REQUESTS_IN_PROGRESS,
     val requestMemoryBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_PARTS * REQUEST_HEAP_PARTS,
     val responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_PARTS * RESPONSE_HEAP_PARTS,
+    val peerMemoryBytes: Long = Runtime.getRuntime().maxMemory() / PEER_HEAP_PARTS,
     val timeouts: RouterTimeouts = RouterTimeouts(),
     val bounds: ServiceBounds = ServiceBounds(),
     val claims: ClaimShardOptions = ClaimShardOptions(),
--- a/router/src/main/kotlin/comfreypath/router/StatusPages.kt
+++ b/router/src/main/kotlin/comfreypath/router/StatusPages.kt
@@ -1,7 +1,5 @@
 package comfreypath.router
 
-import comfreypath.transport.HttpServer
-import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.ResponseWriter
 import comfreypath.transport.respond
@@ -12,8 +10,8 @@
 
 /** Serves the readiness check of a router to the platform, and its metrics. */
 internal class StatusPages(private val context: RouterContext, private val ready: () -> Boolean) {
-    private val readiness = HttpServer(context.loop, HttpServerOptions(), ::handleReadiness)
-    private val metrics = HttpServer(context.loop, HttpServerOptions(), ::handleMetrics)
+    private val readiness = context.internalServer(Listener.READINESS, ::handleReadiness)
+    private val metrics = context.internalServer(Listener.METRICS, ::handleMetrics)
 
     /** Starts to serve the readiness check. */
     suspend fun startReadiness() {
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSnapshots.kt
@@ -6,7 +6,9 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapError
 import comfreypath.coordination.facts.StoreVersion
+import comfreypath.router.Listener
 import comfreypath.router.RouterContext
+import comfreypath.router.internalServer
 import comfreypath.router.store.ObjectChange
 import comfreypath.router.store.ObjectKind
 import comfreypath.router.store.ObjectStore
@@ -16,8 +18,6 @@
 import comfreypath.transport.ClientResponse
 import comfreypath.transport.GZIP_ENCODING
 import comfreypath.transport.HttpClient
-import comfreypath.transport.HttpServer
-import comfreypath.transport.HttpServerOptions
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.JSON_CONTENT_TYPE
 import comfreypath.transport.OutgoingRequest
@@ -71,7 +71,7 @@
     private val store: ObjectStore,
     private val sources: Map<String, SnapshotSource>,
 ) {
-    private val server = HttpServer(context.loop, HttpServerOptions(), ::handle)
+    private val server = context.internalServer(Listener.PEERS, ::handle)
     private val client = HttpClient(context.loop, context.clock)
     private val encoder = SnapshotEncoder()
 
--- a/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/RouterMetrics.kt
@@ -43,6 +43,17 @@
     val connectionsRefused: Counter =
         counter("comfreypath_connections_refused_total", "Connections over the maximum.")
 
+    /**
+     * Requests and connections refused at the addresses that are not for callers, by address (`readiness`, `peers` or
+     * `metrics`) and reason: `connection`, or why a request was rejected before it was read.
+     */
+    val internalRefused: Counter =
+        counter("comfreypath_internal_refused_total", "Refusals not of callers.", "listener", "reason")
+
+    /** Messages of peers that were dropped, by reason: `unreadable`, `unknown` sender, or `out_of_memory`. */
+    val peerMessagesDropped: Counter =
+        counter("comfreypath_peer_messages_dropped_total", "Messages of peers dropped.", "reason")
+
     /** Attempts at endpoints, by outcome. */
     val attempts: Counter = counter("comfreypath_attempts_total", "Attempts at endpoints.", "outcome")
 
--- a/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/telemetry/RouterMetricsExpositionTest.kt
@@ -46,6 +46,9 @@
         # HELP comfreypath_in_progress Requests in progress.
         # TYPE comfreypath_in_progress gauge
         comfreypath_in_progress 4.0
+        # HELP comfreypath_internal_refused_total Refusals not of callers.
+        # TYPE comfreypath_internal_refused_total counter
+        comfreypath_internal_refused_total{listener="peers",reason="connection"} 17.0
         # HELP comfreypath_latency_seconds Time from a request's arrival to its answer or first event.
         # TYPE comfreypath_latency_seconds histogram
         comfreypath_latency_seconds_bucket{kind="idempotent",le="0.002"} 0
@@ -65,6 +68,9 @@
         comfreypath_latency_seconds_bucket{kind="idempotent",le="+Inf"} 1
         comfreypath_latency_seconds_count{kind="idempotent"} 1
         comfreypath_latency_seconds_sum{kind="idempotent"} 0.25
+        # HELP comfreypath_peer_messages_dropped_total Messages of peers dropped.
+        # TYPE comfreypath_peer_messages_dropped_total counter
+        comfreypath_peer_messages_dropped_total{reason="unreadable"} 18.0
         # HELP comfreypath_quarantined_parts Prompt parts quarantined.
         # TYPE comfreypath_quarantined_parts gauge
         comfreypath_quarantined_parts 9.0
@@ -127,6 +133,8 @@
         metrics.storeCalls.labelValues("list", "endpoints", "answered").inc(6)
         metrics.violations.labelValues("at_most_once").inc(7)
         metrics.connectionsRefused.inc(8)
+        metrics.internalRefused.labelValues("peers", "connection").inc(17)
+        metrics.peerMessagesDropped.labelValues("unreadable").inc(18)
         metrics.requestsRead.inc(9)
         metrics.requestsUnanswered.labelValues("client_closed").inc(10)
         metrics.responsesWritten.inc(11)
--- a/transport/src/main/kotlin/comfreypath/transport/BodyMemory.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/BodyMemory.kt
@@ -1,16 +1,25 @@
 package comfreypath.transport
 
 /**
- * The budgets for the heads and bodies of all exchanges. Responses have one of their own, so that new requests can't
- * take the memory that the requests already accepted need for their responses.
+ * The budgets for the heads and bodies of all exchanges, and for the connections that carry them. Responses have one of
+ * their own, so that new requests can't take the memory that the requests already accepted need for their responses.
+ *
+ * @property connections bounds the open connections of the process
  */
-class BodyMemory(requestBytes: Long, responseBytes: Long) {
+class BodyMemory(
+    requestBytes: Long,
+    responseBytes: Long,
+    val connections: ConnectionBudget = ConnectionBudget.unlimited(),
+) {
     private val requests = MemoryBudget(requestBytes)
     private val responses = MemoryBudget(responseBytes)
 
     /** What the heads of requests may hold of the memory of requests. */
     internal val heads = HeadMemory(requestBytes)
 
+    /** The requests that hold a part of the memory and are not complete. */
+    internal val unfinished = UnfinishedRequests()
+
     /** The memory of responses. */
     internal val responseBudget: MemoryBudget get() = responses
 
--- a/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ConnectionWriter.kt
@@ -1,6 +1,7 @@
 package comfreypath.transport
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -29,11 +30,16 @@
     fun aborted(reason: UnansweredReason)
 }
 
-/** Writes one response to a server connection; [mayKeepAlive] is false if the connection is to close after it. */
+/**
+ * Writes one response to a server connection; [mayKeepAlive] is false if the connection is to close after it.
+ *
+ * @property memory holds the chunks that the client has not received yet
+ */
 internal class ConnectionWriter(
     private val context: ChannelHandlerContext,
     private val gate: WriteGate,
     private val observer: ResponseObserver,
+    private val memory: MemoryBudget.Account,
     private val mayKeepAlive: () -> Boolean,
 ) : ResponseWriter {
     private var state = State.NEW
@@ -81,8 +87,14 @@
 
     override suspend fun writeChunk(bytes: ByteArray) {
         change(State.STARTED, State.STARTED)
-        flush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-        gate.awaitWritable()
+        val reserved = memory.add(bytes.size)
+        val write = flush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (reserved) {
+            write.addListener { memory.remove(bytes.size) }
+            gate.awaitWritable()
+        } else {
+            write.awaitSuccess()
+        }
     }
 
     override suspend fun end() {
@@ -111,12 +123,10 @@
         state = to
     }
 
-    private fun flush(message: Any) {
-        context.writeAndFlush(message).addListener { write ->
-            when {
-                !write.isSuccess -> observer.writeFailed(write.cause())
-                message is LastHttpContent -> observer.written()
-            }
+    private fun flush(message: Any): ChannelFuture = context.writeAndFlush(message).addListener { write ->
+        when {
+            !write.isSuccess -> observer.writeFailed(write.cause())
+            message is LastHttpContent -> observer.written()
         }
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnection.kt
@@ -32,12 +32,14 @@
  * data has arrived.
  *
  * @property address the address of the server
+ * @property queueMemory holds the parts of responses that wait to be read
  * @property partiallyReceived whether a part of a response has arrived, but not its end
  */
 class HttpConnection internal constructor(
     private val channel: Channel,
     val address: Address,
     private val heads: ResponseHeadMemory,
+    private val queueMemory: MemoryBudget.Account,
     private val partiallyReceived: () -> Boolean,
 ) : MessageHandler<HttpObject>() {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
@@ -73,7 +75,8 @@
         get() = channel.isActive && persistent && !exchangeInProgress && !writing && !aborted && queued == 0 &&
             !carriedIds.full && !partiallyReceived()
 
-    private val full: Boolean get() = queued >= HIGH_WATERMARK_PARTS || queuedBytes >= HIGH_WATERMARK_BYTES
+    private val full: Boolean
+        get() = queued >= HIGH_WATERMARK_PARTS || queuedBytes >= HIGH_WATERMARK_BYTES || queueMemory.exceedsShare
 
     private val ResponsePart.size: Int get() = (this as? ResponsePart.Bytes)?.bytes?.size ?: 0
 
@@ -122,6 +125,7 @@
         if (part !is ResponsePart.Aborted) {
             queued -= 1
             queuedBytes -= part.size
+            queueMemory.remove(part.size)
             if (!full && channel.isActive) {
                 channel.config().isAutoRead = true
             }
@@ -186,6 +190,7 @@
         if (!aborted) {
             queued += 1
             queuedBytes += part.size
+            queueMemory.hold(part.size)
             parts.trySend(part)
             if (!exchangeInProgress) {
                 channel.close()
@@ -205,6 +210,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         abort(if (reset) AbortReason.RESET else AbortReason.CLOSED)
         heads.release()
+        queueMemory.close()
         super.channelInactive(context)
     }
 
--- a/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpConnector.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -13,29 +14,39 @@
 import java.net.ConnectException
 import java.time.Duration
 
+private const val MIN_READ = 64
+private const val INITIAL_READ = 2_048
+
+/** A connection whose response is not read holds one read more than it should. */
+private const val MAX_READ = 16_384
+
 /**
  * Opens client connections on one event loop.
  *
- * @param memory the budget for the heads of responses, as a part of that for their bodies
+ * @param memory the budgets for the heads of responses, for what waits to be read of their bodies, and for connections
  */
 class HttpConnector(private val loop: EventLoop, memory: BodyMemory = BodyMemory.unlimited()) {
-    private val headBudget = memory.responseBudget
+    private val budget = memory.connections
+    private val responseBudget = memory.responseBudget
 
     /** Opens a connection, waiting for at most [timeout]. */
     suspend fun connect(address: Address, timeout: Duration): Result<HttpConnection, ExchangeFailure.ConnectFailed> {
         var opened: HttpConnection? = null
+        budget.makeRoom()
         val connecting = Bootstrap()
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(MIN_READ, INITIAL_READ, MAX_READ))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.toMillis().toInt())
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     lateinit var connection: HttpConnection
-                    val heads = ResponseHeadMemory(headBudget)
+                    val heads = ResponseHeadMemory(responseBudget)
                     val decoder = ResponseDecoder(heads) { connection.method }
-                    connection = HttpConnection(channel, address, heads) { decoder.partial }
+                    connection = HttpConnection(channel, address, heads, responseBudget.open()) { decoder.partial }
                     opened = connection
+                    budget.add(channel)
                     channel.pipeline()
                         .addLast(RequestEncoder())
                         .addLast(decoder)
--- a/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/HttpServer.kt
@@ -26,7 +26,7 @@
  *
  * @param options provides the limits in force, which can change while the server runs; only a change of
  * [HttpServerOptions.maxHeaderBytes] does not apply to connections that are already open
- * @param memory the budgets for the bodies of all requests and their responses
+ * @param memory the budgets for the heads and bodies of all requests and their responses, and for all connections
  * @param clock measures the age of requests
  * @param onEvent is called with each event of a request or connection, on the loop's thread
  */
@@ -39,6 +39,7 @@
     handler: suspend (IncomingRequest, ResponseWriter) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(loop)
+    private val budget = memory.connections
     private val scope = CoroutineScope(loop.dispatcher() + SupervisorJob())
     private val environment = ServerEnvironment(
         scope = scope,
@@ -51,6 +52,10 @@
     private var listener: Channel? = null
     private var acceptedCount = 0L
 
+    init {
+        budget.addServer(::closeReplaceable)
+    }
+
     constructor(
         loop: EventLoop,
         options: HttpServerOptions,
@@ -110,13 +115,16 @@
     private fun replaceable(): ServerConnection? = openConnections().filter { it.replaceable }
         .minWithOrNull(compareBy({ it.receiving }, { it.answered }, { it.idleSince }))
 
-    /** Refuses the unfinished head that holds most, if that is more than [moreThan]; of any client if null. */
-    private fun refuseLargestHead(moreThan: Long, address: String?): Boolean {
-        val largest = openConnections().filter { address == null || it.address == address }
-            .maxByOrNull { it.refusableBytes }
-        val refused = largest != null && largest.refusableBytes > moreThan
-        if (refused) largest?.refuseUnfinished()
-        return refused
+    private fun closeReplaceable(): Boolean = replaceable()?.yieldToAnother() != null
+
+    /** Returns true if a new connection may stay, for which another one may have been closed. */
+    private fun makeRoom(maxConnections: Int): Boolean {
+        val full = connections.size >= maxConnections
+        if (full || budget.full) {
+            onEvent(ServerEvent.ConnectionRefused(connections.size))
+            if (full) closeReplaceable() else budget.makeRoom()
+        }
+        return connections.size < maxConnections && !budget.full
     }
 
     /** Closes the listener and all connections, aborting the requests in progress. */
@@ -131,28 +139,29 @@
         override fun initChannel(channel: Channel) {
             acceptedCount += 1
             val limits = options()
-            if (connections.size >= limits.maxConnections) {
-                onEvent(ServerEvent.ConnectionRefused(connections.size))
-                replaceable()?.yieldToAnother()
-            }
-            if (connections.size >= limits.maxConnections) {
+            if (!makeRoom(limits.maxConnections)) {
                 channel.close()
                 return
             }
             connections.add(channel)
+            budget.add(channel)
             val gate = WriteGate()
             val encoder = ResponseEncoder()
             val address = (channel.remoteAddress() as? InetSocketAddress)?.address?.hostAddress.orEmpty()
-            val requestMemory = RequestMemory(environment.memory, address, ::refuseLargestHead)
+            lateinit var connection: ServerConnection
+            val requestMemory = RequestMemory(environment.memory, address, environment.clock) {
+                environment.memory.unfinished.refuseFor(connection, it)
+            }
             val timer = ReceiveTimer(options, environment.clock) {
                 channel.pipeline().get(StrictRequestDecoder::class.java)?.partial == true
             }
+            connection = ServerConnection(environment, PipelineHandlers(gate, timer, encoder), requestMemory)
             channel.pipeline()
                 .addLast(timer)
                 .addLast(StrictRequestDecoder(limits.maxHeaderBytes, requestMemory))
                 .addLast(encoder)
                 .addLast(gate)
-                .addLast(ServerConnection(environment, PipelineHandlers(gate, timer, encoder), requestMemory))
+                .addLast(connection)
         }
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
@@ -14,6 +14,9 @@
     var usedBytes: Long = 0
         private set
 
+    /** The bytes that no account holds; negative if some hold more than there was room for. */
+    val leftBytes: Long get() = limitBytes - usedBytes
+
     /** Opens an account that holds nothing. */
     fun open(): Account = Account()
 
@@ -27,12 +30,19 @@
 
         /** Adds [count] bytes; returns false, and adds nothing, if there is no room or the account is closed. */
         fun add(count: Int): Boolean {
-            val left = limitBytes - usedBytes - count
-            val fits = !closed && (count == 0 || bytes + count <= left)
+            val fits = !closed && (count == 0 || bytes + count <= leftBytes - count)
             if (fits) change(count.toLong())
             return fits
         }
 
+        /** Adds [count] bytes that are held already, although there may be no room. */
+        internal fun hold(count: Int) {
+            if (!closed) change(count.toLong())
+        }
+
+        /** True while it holds more than is left, so that it must not grow. */
+        internal val exceedsShare: Boolean get() = bytes > leftBytes
+
         /** Gives [count] bytes back that were added before. */
         fun remove(count: Int) {
             if (!closed) change(-count.toLong())
--- a/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestAggregator.kt
@@ -78,7 +78,7 @@
         continueAwaited = false
         val bytes = ByteArray(content.content().readableBytes())
         content.content().readBytes(bytes)
-        return when (request.body.add(bytes)) {
+        return when (memory.addTo(request.body, bytes)) {
             BodyGrowth.TOO_LONG -> Aggregation.Rejected(HttpRejection.BODY_TOO_LARGE)
             BodyGrowth.OUT_OF_MEMORY -> Aggregation.Rejected(HttpRejection.OUT_OF_MEMORY)
             BodyGrowth.ADDED -> if (content is LastHttpContent) complete(request) else incomplete(context)
--- a/transport/src/main/kotlin/comfreypath/transport/RequestMemory.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestMemory.kt
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeadersFactory
+import java.time.Instant
+import java.time.InstantSource
 
 /** What a request line holds beside its text, which the path and the query repeat. */
 private const val REQUEST_BYTES = 512
@@ -11,13 +13,14 @@
  * The memory of the request that one connection receives.
  *
  * @property address the client's address
- * @property makeRoom frees the memory of an unfinished head that holds more than the given bytes, of the given client
- * if that is not null; returns false if there is none
+ * @property makeRoom refuses another unfinished request, of the given client if that is not null; returns false if it
+ * finds none
  */
 internal class RequestMemory(
     private val memory: BodyMemory,
     val address: String,
-    private val makeRoom: (moreThan: Long, address: String?) -> Boolean,
+    private val clock: InstantSource = InstantSource.system(),
+    private val makeRoom: (address: String?) -> Boolean,
 ) {
     private val heads = memory.heads.open(address)
     private val headers = ArrayList<MeteredHeaders>()
@@ -25,8 +28,12 @@
 
     private var receiving: ExchangeMemory? = null
 
-    /** The bytes that the head of the unfinished request holds, with its input that is not decoded. */
-    val unfinishedBytes: Long get() = (receiving?.head?.bytes ?: 0) + (input?.head?.bytes ?: 0)
+    /** The bytes that the unfinished request holds, with its input that is not decoded. */
+    val unfinishedBytes: Long get() = (receiving?.request?.bytes ?: 0) + (input?.request?.bytes ?: 0)
+
+    /** When the first byte of the unfinished request was read; null if there is none. */
+    var receivingSince: Instant? = null
+        private set
 
     /** Creates the headers of the next request. */
     val headersFactory: HttpHeadersFactory =
@@ -37,7 +44,9 @@
         MeteredHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), ::reserve) { headers += it }
 
     private fun begin() {
+        val since = receivingSince
         discard()
+        receivingSince = since ?: clock.instant()
         receiving = memory.open(heads)
     }
 
@@ -54,26 +63,30 @@
     private fun grow(accounts: ExchangeMemory?, count: Int): Boolean {
         val head = accounts?.head ?: return false
         var growth = head.add(count)
-        while (growth.relievedBy { makeRoom(unfinishedBytes, it) }) growth = head.add(count)
+        while (growth.relievedBy(address, makeRoom)) growth = head.add(count)
         return growth == HeadGrowth.ADDED
     }
 
-    private fun HeadGrowth.relievedBy(makeRoomAt: (String?) -> Boolean): Boolean = when (this) {
-        HeadGrowth.ADDED, HeadGrowth.CONNECTION_FULL -> false
-        HeadGrowth.ADDRESS_FULL -> makeRoomAt(address)
-        HeadGrowth.FULL -> makeRoomAt(null)
+    /** Adds [chunk] to [body], the body of the unfinished request; another one is refused if there is no room. */
+    fun addTo(body: BodyBuffer, chunk: ByteArray): BodyGrowth {
+        var growth = body.add(chunk)
+        while (growth == BodyGrowth.OUT_OF_MEMORY && makeRoom(null)) growth = body.add(chunk)
+        return growth
     }
 
     /** Takes the memory of [bytes] of input that is not decoded, instead of those before; false if there is no room. */
     fun holdInput(bytes: Int): Boolean {
         input?.close()
         input = if (bytes > 0) memory.open(heads) else null
+        if (bytes > 0 && receivingSince == null) receivingSince = clock.instant()
+        if (bytes == 0 && receiving == null) receivingSince = null
         return bytes == 0 || grow(input, bytes)
     }
 
     /** Leaves the accounts to the request, which is complete. */
     fun complete() {
         receiving = null
+        receivingSince = null
         headers.clear()
     }
 
@@ -83,6 +96,7 @@
         headers.clear()
         receiving?.close()
         receiving = null
+        receivingSince = null
     }
 
     /** Drops all that is not complete, once the connection takes no more. */
@@ -91,3 +105,9 @@
         holdInput(0)
     }
 }
+
+private fun HeadGrowth.relievedBy(address: String, makeRoom: (String?) -> Boolean): Boolean = when (this) {
+    HeadGrowth.ADDED, HeadGrowth.CONNECTION_FULL -> false
+    HeadGrowth.ADDRESS_FULL -> makeRoom(address)
+    HeadGrowth.FULL -> makeRoom(null)
+}
--- a/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/RequestQueue.kt
@@ -77,7 +77,7 @@
     }
 
     private fun handle(exchange: ServerExchange) {
-        val writer = ConnectionWriter(context, pipeline.gate, Observer(exchange)) {
+        val writer = ConnectionWriter(context, pipeline.gate, Observer(exchange), exchange.request.memory.response) {
             exchange.keepAlive && (environment.mayKeepAlive() || hasNext)
         }
         pipeline.encoder.beginResponse(exchange.request.method)
--- a/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpObject
+import java.io.IOException
 import java.time.Instant
 
 private const val FIRST_REQUEST_MILLISECONDS = 500L
@@ -18,7 +19,7 @@
     private val environment: ServerEnvironment,
     private val pipeline: PipelineHandlers,
     private val memory: RequestMemory,
-) : MessageHandler<HttpObject>() {
+) : MessageHandler<HttpObject>(), UnfinishedRequest {
     private val aggregator =
         RequestAggregator({ environment.options().maxBodyBytes }, memory, pipeline.timer) { requests.empty }
     private lateinit var requests: RequestQueue
@@ -42,11 +43,11 @@
     /** True while a request has been received only partly. */
     val receiving: Boolean get() = pipeline.timer.receiving
 
-    /** The client's address. */
-    val address: String get() = memory.address
+    override val address: String get() = memory.address
 
-    /** The bytes that the head of an unfinished request holds; 0 if no request can be refused. */
-    val refusableBytes: Long get() = if (requests.accepting) memory.unfinishedBytes else 0
+    override val refusableBytes: Long get() = if (requests.accepting) memory.unfinishedBytes else 0
+
+    override val receivingSince: Instant? get() = memory.receivingSince
 
     /** True while the first request may still be on its way. */
     private val justOpened: Boolean
@@ -54,6 +55,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
+        environment.memory.unfinished.add(this)
         requests = RequestQueue(context, environment, pipeline) {
             answered = true
             idleSince = environment.clock.instant()
@@ -80,8 +82,7 @@
         requests.reject(rejection)
     }
 
-    /** Refuses the unfinished request, so that its memory is free for others. */
-    fun refuseUnfinished() {
+    override fun refuseUnfinished() {
         channel.pipeline().get(StrictRequestDecoder::class.java)?.drop()
         refuse(HttpRejection.OUT_OF_MEMORY)
         memory.close()
@@ -111,6 +112,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        environment.memory.unfinished.remove(this)
         aggregator.discard()
         memory.close()
         requests.cancel()
@@ -119,6 +121,7 @@
 
     @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) environment.onEvent(ServerEvent.ConnectionFailed(cause))
         context.close()
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/ServerEvent.kt
@@ -29,6 +29,9 @@
     /** The handler of [request] failed with an exception. */
     data class HandlerFailed(val request: IncomingRequest, val failure: Throwable) : ServerEvent
 
+    /** A connection was closed because its input could not be handled; [failure] is not an error of the network. */
+    data class ConnectionFailed(val failure: Throwable) : ServerEvent
+
     /** A request was rejected because of [rejection] before it was read completely. */
     data class RequestRejected(val rejection: HttpRejection) : ServerEvent
 
--- a/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/ConnectionWriterTest.kt
@@ -85,7 +85,7 @@
             },
         )
         val timer = ReceiveTimer(environment.options, environment.clock) { false }
-        val memory = RequestMemory(environment.memory, address = "") { _, _ -> false }
+        val memory = RequestMemory(environment.memory, address = "") { false }
         val connection = ServerConnection(environment, PipelineHandlers(WriteGate(), timer, ResponseEncoder()), memory)
         val channel = EmbeddedChannel(FailingWrites(), connection)
         channel.writeInbound(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
--- a/transport/src/test/kotlin/comfreypath/transport/LargeHeadsTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/LargeHeadsTest.kt
@@ -65,6 +65,23 @@
         awaitHeld("all memory is given back") { it == 0L }
     }
 
+    @Test
+    fun `a body that has stopped is refused for a new one that is as large`() = withServer {
+        val stopped = List(STOPPED_BODIES) { number ->
+            RawClient(address).apply {
+                send("POST /$number HTTP/1.1\r\nContent-Length: ${2 * BODY_BYTES}\r\n\r\n" + "x".repeat(BODY_BYTES))
+            }
+        }
+        awaitHeld("the bodies are read") { it >= STOPPED_BODIES * BODY_BYTES / 2 }
+        Thread.sleep(STALL_MILLISECONDS)
+        RawClient(address).use { client ->
+            client.send("POST /whole HTTP/1.1\r\nContent-Length: $BODY_BYTES\r\n\r\n" + "x".repeat(BODY_BYTES))
+            expectThat(client.read()?.body).isEqualTo("/whole")
+        }
+        stopped.forEach { it.close() }
+        awaitHeld("all memory is given back") { it == 0L }
+    }
+
     @Test
     fun `input without an end of line is counted until it is complete`() = withServer {
         RawClient(address).use { client ->
@@ -105,5 +122,8 @@
 
     private companion object {
         const val MIN_IDLE_TEST_MILLISECONDS = 600L
+        const val STOPPED_BODIES = 45
+        const val BODY_BYTES = 8_000
+        const val STALL_MILLISECONDS = 600L
     }
 }
