Bound what routers that do not exist make a router keep

Callers saw: a router that ended. 1,000 datagrams with a new name and 1,950 loads in each ended it, as status messages and as messages of loads; 20,000 that can't be read had a line in the log each.

Cause: the latest message of every name was kept, for five minutes or, for loads, until this router became a relay. Reports of outages and the eras of claims were kept for each name without end.

128 routers that the store does not list are kept, of which a silent one gives way; the latest messages of all share a budget, of which these hold half at most; the rest is kept for known routers only. Dropped messages are counted, and logged once a second.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipOptions.kt
@@ -15,6 +15,7 @@
 private const val MAX_MISSED_STATUSES = 4
 private const val MAX_REPORT_DELAY_SECONDS = 1L
 private const val UNREGISTERED_PEER_TTL_MINUTES = 5L
+private const val MAX_UNREGISTERED_PEERS = 128
 
 /**
  * Timing and fan-out of the gossip between routers.
@@ -29,6 +30,7 @@
  * @property maxMissedStatuses number of intervals without a message after which a peer is no longer live
  * @property maxReportDelay time after which reports of prompt parts are ignored, in addition to the interval
  * @property unregisteredPeerTtl time without a message after which a peer that is not in the store is removed
+ * @property maxUnregisteredPeers maximum number of peers that are not in the store, which any sender can name
  */
 data class GossipOptions(
     val minInterval: Duration = Duration.ofMillis(MIN_INTERVAL_MILLISECONDS),
@@ -40,6 +42,7 @@
     val maxMissedStatuses: Int = MAX_MISSED_STATUSES,
     val maxReportDelay: Duration = Duration.ofSeconds(MAX_REPORT_DELAY_SECONDS),
     val unregisteredPeerTtl: Duration = Duration.ofMinutes(UNREGISTERED_PEER_TTL_MINUTES),
+    val maxUnregisteredPeers: Int = MAX_UNREGISTERED_PEERS,
 ) {
     /** True if loads travel by relays with [peers] known peers. */
     fun relaysLoads(peers: Int): Boolean = peers > maxDirectLoadsPeers
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipProtocol.kt
@@ -99,11 +99,12 @@
     ): Step<GossipState, GossipAction> {
         val status = event.status
         val peer = state.peers[status.from] ?: Peer(event.sender)
-        if (status.from == state.self || !peer.lastStatusPrecedes(status)) {
+        val room = state.roomFor(status.from, options, now)
+        if (status.from == state.self || room == null || !peer.lastStatusPrecedes(status)) {
             return Step(state)
         }
         val next = state.copy(
-            peers = state.peers.put(status.from, peer.copy(receivedAt = now, status = status)),
+            peers = room.put(status.from, peer.copy(receivedAt = now, status = status)),
             pendingUpdate = if (event.knowsSame) state.updateHeardAgain(options) else state.pendingUpdate,
         )
         val actions = confirmations(state, status) + comparisons(status, peer.address)
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -92,6 +92,19 @@
         return started && !hasHeard && options.relaysLoads(peers.size)
     }
 
+    /**
+     * The peers with room for the one called [name]; null if there is none. Beyond the maximum, an unregistered peer
+     * takes the place of the one that has been silent longest, if that is no longer live.
+     */
+    internal fun roomFor(name: InstanceName, options: GossipOptions, now: Instant): PersistentMap<InstanceName, Peer>? {
+        val unregistered = peers.values.filter { !it.registered }
+        if (name in peers || unregistered.size < options.maxUnregisteredPeers) return peers
+        val silentSince = now - options.livenessTimeout(peers.size)
+        return unregistered.minByOrNull { it.receivedAt ?: Instant.MIN }
+            ?.takeIf { (it.receivedAt ?: Instant.MIN) <= silentSince }
+            ?.let { peers.remove(it.address.name) }
+    }
+
     /** Schedules an update; an update that is already pending keeps its time. */
     fun withPendingUpdate(event: GossipEvent.UpdateLearned, options: GossipOptions, now: Instant): GossipState = copy(
         pendingUpdate = PendingUpdate(
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/LoadRelay.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/LoadRelay.kt
@@ -84,12 +84,25 @@
     ): LoadRelayState {
         val arrived = ReceivedLoad(message, now)
         return when (message.scope) {
-            LoadScope.ROUTER -> state.copy(reports = state.reports.newer(arrived))
-            LoadScope.DATA_CENTRE -> state.copy(sums = state.sums.newer(arrived))
+            LoadScope.ROUTER ->
+                state.reports.newer(arrived).let { if (it === state.reports) state else state.copy(reports = it) }
+            LoadScope.DATA_CENTRE ->
+                state.sums.newer(arrived).let { if (it === state.sums) state else state.copy(sums = it) }
             LoadScope.FLEET -> if (message.dataCentre == dataCentre) state.copy(fleet = arrived) else state
         }
     }
 
+    /** Forgets the messages of routers other than [known]. */
+    fun retain(state: LoadRelayState, known: Set<InstanceName>): LoadRelayState =
+        if (known.containsAll(state.reports.keys) && known.containsAll(state.sums.keys)) {
+            state
+        } else {
+            state.copy(
+                reports = state.reports.filterKeys { it in known }.toPersistentMap(),
+                sums = state.sums.filterKeys { it in known }.toPersistentMap(),
+            )
+        }
+
     /** Returns the messages to send now; [own] are this router's requests in flight, [stamp] that of its messages. */
     fun tick(
         state: LoadRelayState,
--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/StoreOutages.kt
@@ -37,7 +37,7 @@
 
     /** Records that the calls of [router] have failed for [failingFor], which is zero after a response. */
     fun reported(router: ReportingRouter, failingFor: Duration, now: Instant): StoreOutages = when {
-        failingFor >= MIN_OUTAGE -> copy(failing = failing.put(router, now))
+        failingFor >= MIN_OUTAGE -> copy(failing = failing.put(router, now)).pruned(now)
         router in failing -> copy(failing = failing.remove(router), ended = ended.put(router, now)).pruned(now)
         else -> this
     }
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/GossipProtocolTest.kt
@@ -44,6 +44,42 @@
         expectThat(protocol.step(first.state, GossipEvent.Tick(own), tooEarly).actions).isEmpty()
     }
 
+    private fun receivedFrom(state: GossipState, name: String, at: Instant, milliseconds: Long = 1) = protocol.step(
+        state,
+        GossipEvent.StatusReceived(
+            PeerStatus(InstanceName(name), south, StatusStamp(1, milliseconds), replyRequested = true),
+            PeerAddress(InstanceName(name), "10.9.9.9", 7, south),
+        ),
+        at,
+    )
+
+    private fun withCrowd(from: Int = 1, state: GossipState = known, at: Instant = start) =
+        (from until from + 2 * options.maxUnregisteredPeers)
+            .fold(state) { crowd, number -> receivedFrom(crowd, "ghost-$number", at).state }
+
+    @Test
+    fun `routers that the store does not list are kept up to a maximum, and those that it lists beyond`() {
+        val crowd = withCrowd()
+        expectThat(crowd.peers.size).isEqualTo(options.maxUnregisteredPeers + 1)
+        val refused = receivedFrom(crowd, "ghost-0", start)
+        expectThat(refused.state).isEqualTo(crowd)
+        expectThat(refused.actions).isEmpty()
+        expectThat(receivedFrom(crowd, "b", start).state.peers.getValue(other.name).receivedAt).isEqualTo(start)
+        val later = listOf(self, other, PeerAddress(InstanceName("c"), "10.0.0.3", 7, south))
+        val listed = protocol.step(crowd, GossipEvent.Registered(later), start).state
+        expectThat(receivedFrom(listed, "c", start).actions.filterIsInstance<GossipAction.Reply>()).single()
+    }
+
+    @Test
+    fun `a router that the store does not list yet takes the place of one that is silent`() {
+        val crowd = withCrowd()
+        val silent = start + options.livenessTimeout(crowd.peers.size)
+        val joined = receivedFrom(crowd, "new", silent).state
+        expectThat(joined.peers.size).isEqualTo(crowd.peers.size)
+        expectThat(joined.peers.getValue(InstanceName("new")).receivedAt).isEqualTo(silent)
+        expectThat(receivedFrom(crowd, "new", silent.minusMillis(1)).state).isEqualTo(crowd)
+    }
+
     @Test
     fun `a freshness confirmation is dated by its echo, not by its arrival`() {
         val echo = StatusStamp(11, start.toEpochMilli())
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/StoreOutagesTest.kt
@@ -42,6 +42,23 @@
         expectThat(none.ended(peerInB, now.minusMillis(200), now).last(now)).isNull()
     }
 
+    @Test
+    fun `reports of routers that are never heard again are forgotten`() {
+        val heard = (1..100).fold(none) { state, number ->
+            val router = ReportingRouter(InstanceName("router-$number"), DataCentreName("b"))
+            state.reported(router, long, now.plusSeconds(number.toLong()))
+        }
+        val last = ReportingRouter(InstanceName("router-101"), DataCentreName("b"))
+        val recent = (90..100).fold(none) { state, number ->
+            val router = ReportingRouter(InstanceName("router-$number"), DataCentreName("b"))
+            state.reported(router, long, now.plusSeconds(number.toLong()))
+        }
+        expectThat(heard).isEqualTo(recent)
+        expectThat(
+            heard.reported(last, long, now.plusSeconds(200))
+        ).isEqualTo(none.reported(last, long, now.plusSeconds(200)))
+    }
+
     @Test
     fun `a router tells for ten seconds that an outage of its calls has ended`() {
         val recovered = none.reported(self, long, now).reported(self, Duration.ZERO, now)
--- a/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
+++ b/router/src/main/kotlin/comfreypath/router/ClusterViewUpdater.kt
@@ -5,7 +5,7 @@
 import comfreypath.coordination.fleet.GossipOptions
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.StoreWatcherSelector
-import comfreypath.coordination.model.InstanceName
+import comfreypath.router.claims.RestoredClaims
 import comfreypath.router.peers.PeerGossip
 import comfreypath.router.peers.PeerSnapshots
 import comfreypath.router.peers.Registration
@@ -95,13 +95,12 @@
         ),
     )
 
-    /** The eras in which the peers have written their claims again. */
-    private val claimsRestored = HashMap<InstanceName, Long>()
+    private val claimsRestored = RestoredClaims { peers.knownNames }
 
     /** True once all other routers, live or registered, have written their claims again in [era], as they say. */
     fun claimsRestoredByOthers(era: Long): Boolean {
         val known = peers.knownRouters
-        return (known.live + known.registered - known.self).all { (claimsRestored[it] ?: 0) >= era }
+        return claimsRestored.restoredBy(known.live + known.registered - known.self, era)
     }
 
     /** Starts the configuration probe and the endpoint follower, on which requests depend. */
@@ -116,7 +115,7 @@
             val era = StoreVersion(digest.revision).era
             store.learnEra(era)
             view.configuration.learnEra(era)
-            if (code == ObjectKinds.CLAIMS.code) claimsRestored[peer.name] = era
+            if (code == ObjectKinds.CLAIMS.code) claimsRestored.record(peer.name, era)
             followers[code]?.let { it.compare(view.digests()[code], digest, peer) }
         }
         peers.onNewerConfiguration = ::fetchNewerConfiguration
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -45,7 +45,16 @@
     private val options: GossipOptions,
 ) : LivePeers {
     private val protocol = GossipProtocol(options)
-    private val socket: PeerSocket = PeerSocket(context, ::receive) { loads.receive(it) }
+    private val messages = MessageAdmission(context)
+    private val socket: PeerSocket = PeerSocket(context, ::receive) { message, bytes ->
+        val peer = state.peers[message.from]
+        val slot = MessageSlot(message.from, MessageKind.of(message.scope))
+        if (peer == null) {
+            messages.dropUnknown(message.from)
+        } else {
+            messages.admit(slot, message.heldBytes(bytes), peer) { loads.receive(message) }
+        }
+    }
     private val loads: PeerLoads = PeerLoads(context) { peer, message -> socket.send(peer, message) }
     private var state = GossipState(
         self = context.options.name,
@@ -65,6 +74,9 @@
     var live: List<Peer> = emptyList()
         private set
 
+    /** The names of the peers that are registered or have sent a status message. */
+    val knownNames: Set<InstanceName> get() = state.peers.keys
+
     /** True while this router knows of no other. */
     val alone: Boolean get() = state.peers.isEmpty() && state.seeds.isEmpty()
 
@@ -190,16 +202,21 @@
             departures = view.endpoints.departuresToTell(),
         )
 
-    private fun receive(status: PeerStatus, sender: Address) {
+    private fun receive(status: PeerStatus, sender: Address, bytes: Int) {
+        val slot = MessageSlot(status.from, MessageKind.STATUS)
         val address = PeerAddress(status.from, sender.host, sender.port, status.dataCentre)
-        val knowsSame = state.pendingUpdate != null && status.digests == view.digests() &&
-            status.configuration?.version == view.configuration.current?.value?.version
-        step(GossipEvent.StatusReceived(status, address, knowsSame))
-        val isLatest = state.peers[status.from]?.status === status
-        if (isLatest && status.from in liveNames) directLoads.put(status.from, status.inFlight, context.now())
-        status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
-        if (isLatest) outages.heard(status)
-        status.departures?.let { view.endpoints.hear(it, status.from) }
+        messages.admit(slot, status.heldBytes(bytes), state.peers[status.from]) {
+            val knowsSame = state.pendingUpdate != null && status.digests == view.digests() &&
+                status.configuration?.version == view.configuration.current?.value?.version
+            step(GossipEvent.StatusReceived(status, address, knowsSame))
+            val isLatest = state.peers[status.from]?.status === status
+            if (isLatest && status.from in liveNames) directLoads.put(status.from, status.inFlight, context.now())
+            status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
+            if (isLatest) outages.heard(status)
+            status.departures?.let { view.endpoints.hear(it, status.from) }
+            if (status.from !in state.peers && status.from != state.self) messages.dropUnknown(status.from)
+            isLatest
+        }
     }
 
     private fun step(event: GossipEvent) {
@@ -234,6 +251,8 @@
         refreshAt = context.now().plusMillis(REFRESH_INTERVAL_MILLISECONDS)
         live = state.livePeers(options, context.now())
         val names = live.map { it.address.name }.toSet()
+        messages.retain(state.peers.keys)
+        loads.retain(state.peers.keys)
         (names - liveNames).forEach { context.log.record("peer_heard", "peer" to it) }
         (liveNames - names).forEach { context.log.record("peer_lost", "peer" to it) }
         if (names != liveNames) liveNames = names
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerLoads.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerLoads.kt
@@ -7,6 +7,7 @@
 import comfreypath.coordination.fleet.LoadRelayState
 import comfreypath.coordination.fleet.PeerAddress
 import comfreypath.coordination.fleet.StatusStamp
+import comfreypath.coordination.model.InstanceName
 import comfreypath.router.RouterContext
 import java.time.Duration
 
@@ -30,9 +31,16 @@
         }
     }
 
-    /** Records a message of a peer. */
-    fun receive(message: LoadMessage) {
+    /** Records a message of a peer; returns false, and keeps nothing of it, if a later one is known. */
+    fun receive(message: LoadMessage): Boolean {
+        val before = state
         state = relay.received(state, message, context.options.dataCentre, context.now())
+        return state !== before
+    }
+
+    /** Forgets the messages of peers other than [known]. */
+    fun retain(known: Set<InstanceName>) {
+        state = relay.retain(state, known)
     }
 
     /** The mean age of the counts that [inFlight] returns; null while they are not known. */
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMessages.kt
@@ -25,6 +25,7 @@
         )
         when {
             ages.any { it !in AGES } -> Err("an age is out of range")
+            status.inFlight.counts.values.any { it !in 0..MAX_IN_FLIGHT } -> Err("a count is out of range")
             status.echo?.let { it.milliseconds < 0 } ?: false -> Err("the echoed time is out of range")
             else -> Ok(status)
         }
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerSocket.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerSocket.kt
@@ -20,13 +20,13 @@
 private const val LOAD_PREFIX = "L"
 
 /**
- * Sends and receives messages between routers as datagrams. [onStatus] is called with each status message and its
- * sender's address, [onLoad] with each message of loads.
+ * Sends and receives messages between routers as datagrams. [onStatus] is called with each status message, its sender's
+ * address and its size in bytes, [onLoad] with each message of loads and its size.
  */
 internal class PeerSocket(
     private val context: RouterContext,
-    private val onStatus: (PeerStatus, Address) -> Unit,
-    private val onLoad: (LoadMessage) -> Unit,
+    private val onStatus: (PeerStatus, Address, Int) -> Unit,
+    private val onLoad: (LoadMessage, Int) -> Unit,
 ) {
     private val socket = DatagramSocket(context.loop, ::receive)
     private val encoder = PeerStatusEncoder()
@@ -57,12 +57,13 @@
         context.scope.launch(CoroutineName("receive peer status"), CoroutineStart.UNDISPATCHED) {
             val text = bytes.decodeToString()
             val handled = if (text.startsWith(LOAD_PREFIX)) {
-                decodeLoadMessage(text.removePrefix(LOAD_PREFIX)).map(onLoad)
+                decodeLoadMessage(text.removePrefix(LOAD_PREFIX)).map { onLoad(it, bytes.size) }
             } else {
-                decodePeerStatus(text).map { onStatus(it, sender) }
+                decodePeerStatus(text).map { onStatus(it, sender, bytes.size) }
             }
             handled.onErr { reason ->
-                context.log.record("peer_status_unreadable", "sender" to sender, "reason" to reason)
+                context.metrics.peerMessagesDropped.labelValues("unreadable").inc()
+                context.throttledLog.record("peer_status_unreadable", "", "sender" to sender, "reason" to reason)
             }
         }
     }
