Read from an endpoint while nothing of its response waits, whatever others hold

Cause: a connection that holds nothing counted as above its share while others held more than there was room for. It would have stayed paused, since only the reading of a part resumes it. Found by reading the change before; MemoryBudgetTest shows it.

--- a/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
@@ -40,8 +40,8 @@
             if (!closed) change(count.toLong())
         }
 
-        /** True while it holds more than is left, so that it must not grow. */
-        internal val exceedsShare: Boolean get() = bytes > leftBytes
+        /** True while it holds more than is left, so that it must not grow. An empty one may always grow. */
+        internal val exceedsShare: Boolean get() = bytes > 0 && bytes > leftBytes
 
         /** Gives [count] bytes back that were added before. */
         fun remove(count: Int) {
--- a/transport/src/test/kotlin/comfreypath/transport/MemoryBudgetTest.kt
+++ b/transport/src/test/kotlin/comfreypath/transport/MemoryBudgetTest.kt
@@ -11,6 +11,17 @@
 
     private fun MemoryBudget.Account.grow(): MemoryBudget.Account = apply { while (add(10)) Unit }
 
+    @Test
+    fun `an empty account may grow although others hold more than there was room for`() {
+        val held = budget.open().apply { hold(1_500) }
+        val empty = budget.open()
+        expectThat(held.exceedsShare).isEqualTo(true)
+        expectThat(empty.exceedsShare).isEqualTo(false)
+        expectThat(empty.apply { hold(1) }.exceedsShare).isEqualTo(true)
+        held.close()
+        expectThat(empty.exceedsShare).isEqualTo(false)
+    }
+
     @Test
     fun `a body without end stops at half of the budget`() {
         expectThat(budget.open().grow().bytes).isEqualTo(500)
