--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/GossipState.kt
@@ -96,9 +96,12 @@
      * The peers with room for the one called [name]; null if there is none. Beyond the maximum, an unregistered peer
      * takes the place of the one that has been silent longest, if that is no longer live.
      */
-    internal fun roomFor(name: InstanceName, options: GossipOptions, now: Instant): PersistentMap<InstanceName, Peer>? {
+    internal fun roomFor(name: InstanceName, options: GossipOptions, now: Instant): PersistentMap<InstanceName, Peer>? =
+        if (name in peers) peers else withRoomForUnregistered(options, now)
+
+    private fun withRoomForUnregistered(options: GossipOptions, now: Instant): PersistentMap<InstanceName, Peer>? {
         val unregistered = peers.values.filter { !it.registered }
-        if (name in peers || unregistered.size < options.maxUnregisteredPeers) return peers
+        if (unregistered.size < options.maxUnregisteredPeers) return peers
         val silentSince = now - options.livenessTimeout(peers.size)
         return unregistered.minByOrNull { it.receivedAt ?: Instant.MIN }
             ?.takeIf { (it.receivedAt ?: Instant.MIN) <= silentSince }
--- a/daemon/src/test/kotlin/comfreypath/daemon/ClientCrowd.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/ClientCrowd.kt
@@ -17,16 +17,15 @@
 internal class ClientCrowd(address: Address, size: Int, receiveBytes: Int? = null) : Closeable {
     private val sockets = connectAll(address, size, receiveBytes)
 
-    /** Gives up after some failures, since each takes a while if the server hangs. */
+    /** Fails after some attempts in vain, each of which takes a while if the server hangs. */
     private fun connectAll(address: Address, size: Int, receiveBytes: Int?): List<Socket> {
         var failures = 0
-        return (0 until size).mapNotNull {
-            if (failures == MAX_FAILED_CONNECTS) {
-                null
-            } else {
-                runCatching { connect(address, receiveBytes) }.onFailure { failures += 1 }.getOrNull()
-            }
-        }
+        return List(size) {
+            runCatching { connect(address, receiveBytes) }.onFailure {
+                failures += 1
+                check(failures < MAX_FAILED_CONNECTS) { "$failures connections to $address failed" }
+            }.getOrNull()
+        }.filterNotNull()
     }
 
     private fun connect(address: Address, receiveBytes: Int?) = Socket().apply {
--- a/daemon/src/test/kotlin/comfreypath/daemon/CrowdedRouter.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/CrowdedRouter.kt
@@ -39,6 +39,12 @@
     "$method $path HTTP/1.1\r\nHost: ${PlatformFleet.HOST}\r\n${PlatformHeaders.REQUEST_ID}: $id\r\n" +
         "${PlatformHeaders.AUTHORIZATION}: Token ${PlatformFleet.KEY}\r\n"
 
+/** Sends a short response to [request]. */
+internal fun respondShortly(request: RawRequest, socket: Socket) {
+    socket.receive(request.bodyLength)
+    socket.send(rawHead(request, "200 OK", "Content-Length: 2") + "ok")
+}
+
 /** [count] lines of a head. */
 internal fun linesOf(count: Int, line: (Int) -> String): String =
     (0 until count).joinToString("") { "${line(it)}\r\n" }
@@ -107,7 +113,7 @@
  * @param readsOutput false to leave what the router writes unread
  */
 internal fun withCrowdedRouter(
-    respond: (RawRequest, Socket) -> Unit,
+    respond: (RawRequest, Socket) -> Unit = ::respondShortly,
     memory: List<String> = emptyList(),
     readsOutput: Boolean = true,
     test: suspend CrowdedRouter.() -> Unit,
--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -25,7 +25,7 @@
     settings: Map<String, String> = emptyMap(),
     mainClass: String = "comfreypath.daemon.MainKt",
     memory: List<String> = emptyList(),
-    private val readsOutput: Boolean = true,
+    readsOutput: Boolean = true,
 ) : Closeable {
     /** The address for callers. */
     val callerAddress: Address = freeAddress()
--- a/daemon/src/test/kotlin/comfreypath/daemon/UntrustedAddressesTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/UntrustedAddressesTest.kt
@@ -2,7 +2,6 @@
 
 import comfreypath.coordination.model.TeamName
 import comfreypath.coordination.routing.Team
-import comfreypath.standins.PlatformServerStandIn
 import comfreypath.transport.Address
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
@@ -11,19 +10,13 @@
 
 /** Guards against clients that end a router at one of its addresses that are not for callers. */
 class UntrustedAddressesTest {
-    private fun respond(request: RawRequest, socket: Socket) {
-        socket.receive(request.bodyLength)
-        val head = "HTTP/1.1 200 OK\r\nX-Response-Seal: ${PlatformServerStandIn.signature(request.id)}\r\n"
-        socket.send(head + "X-Attempt-Id: ${request.id}\r\nContent-Length: 2\r\n\r\nok")
-    }
-
-    private fun expectUnfinishedHeadsBounded(address: RouterProcess.() -> Address) = withCrowdedRouter(::respond) {
+    private fun expectUnfinishedHeadsBounded(address: RouterProcess.() -> Address) = withCrowdedRouter {
         withCrowd(UNFINISHED_HEADS, process.address()) {
             send { "GET / HTTP/1.1\r\n" + linesOf(HEAD_LINES) { "a:" } }
         }
     }
 
-    private fun expectBodiesBounded(address: RouterProcess.() -> Address) = withCrowdedRouter(::respond) {
+    private fun expectBodiesBounded(address: RouterProcess.() -> Address) = withCrowdedRouter {
         withCrowd(UNFINISHED_BODIES, process.address()) {
             val head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${2 * BODY_BYTES}\r\n\r\n"
             send { head + "x".repeat(BODY_BYTES) }
@@ -51,7 +44,7 @@
     fun `unfinished bodies at the address of the metrics`() = expectBodiesBounded { metricsAddress }
 
     @Test
-    fun `connections opened and left at all addresses leave descriptors free`() = withCrowdedRouter(::respond) {
+    fun `connections opened and left at all addresses leave descriptors free`() = withCrowdedRouter {
         val addresses = process.run { listOf(readinessAddress, peerAddress, metricsAddress) }
         val crowds = addresses.map { ClientCrowd(it, LEFT_CONNECTIONS) }
         try {
@@ -63,7 +56,7 @@
 
     @Test
     fun `requests for metrics that are sent one behind the other and whose answers are not read`() =
-        withCrowdedRouter(::respond, LOW_HEAP) {
+        withCrowdedRouter(memory = LOW_HEAP) {
             ClientCrowd(process.metricsAddress, UNREAD_METRICS, receiveBytes = SMALL_WINDOW_BYTES).use { crowd ->
                 repeat(METRICS_REQUESTS) { crowd.send { "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" } }
                 expectSoundBeside("unread metrics")
@@ -71,7 +64,7 @@
         }
 
     @Test
-    fun `copies of the configuration that are not read`() = withCrowdedRouter(::respond) {
+    fun `copies of the configuration that are not read`() = withCrowdedRouter {
         fixture.fleet.storeAdmin.updateConfiguration { configuration ->
             val teams = (1..TEAMS).map { Team(TeamName("team-$it"), persistentListOf("k".repeat(KEY_LENGTH) + it), 1) }
             configuration.copy(teams = (configuration.teams.orEmpty() + teams).toImmutableList())
--- a/daemon/src/test/kotlin/comfreypath/daemon/UntrustedDatagramsTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/UntrustedDatagramsTest.kt
@@ -1,6 +1,5 @@
 package comfreypath.daemon
 
-import comfreypath.standins.PlatformServerStandIn
 import comfreypath.transport.Address
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -8,16 +7,9 @@
 import java.net.DatagramPacket
 import java.net.DatagramSocket
 import java.net.InetSocketAddress
-import java.net.Socket
 
 /** Guards against datagrams at the address for routers that end a router, whoever sends them. */
 class UntrustedDatagramsTest {
-    private fun respond(request: RawRequest, socket: Socket) {
-        socket.receive(request.bodyLength)
-        val head = "HTTP/1.1 200 OK\r\nX-Response-Seal: ${PlatformServerStandIn.signature(request.id)}\r\n"
-        socket.send(head + "X-Attempt-Id: ${request.id}\r\nContent-Length: 2\r\n\r\nok")
-    }
-
     /** Sends [count] datagrams, [burst] at a time, since a router reads them ten times a second. */
     private fun send(address: Address, count: Int, burst: Int, text: (Int) -> String) = DatagramSocket().use { socket ->
         val target = InetSocketAddress(address.host, address.port)
@@ -33,7 +25,7 @@
     private fun stamp(number: Int) = "1:${(number + 1).toString(RADIX)}"
 
     @Test
-    fun `status messages with long lists of loads from routers that do not exist`() = withCrowdedRouter(::respond) {
+    fun `status messages with long lists of loads from routers that do not exist`() = withCrowdedRouter {
         send(process.peerAddress, LONG_MESSAGES, LONG_BURST) {
             """{"n":"ghost-$it","z":"nowhere","t":"${stamp(it)}","f":"$manyLoads"}"""
         }
@@ -41,7 +33,7 @@
     }
 
     @Test
-    fun `status messages from very many routers that do not exist`() = withCrowdedRouter(::respond, LOW_HEAP) {
+    fun `status messages from very many routers that do not exist`() = withCrowdedRouter(memory = LOW_HEAP) {
         send(process.peerAddress, SHORT_MESSAGES, SHORT_BURST) {
             """{"n":"ghost-$it","z":"nowhere-$it","t":"${stamp(it)}","q":true,"u":5000}"""
         }
@@ -49,7 +41,7 @@
     }
 
     @Test
-    fun `messages of loads from routers that do not exist`() = withCrowdedRouter(::respond) {
+    fun `messages of loads from routers that do not exist`() = withCrowdedRouter {
         send(process.peerAddress, LONG_MESSAGES, LONG_BURST) {
             """L{"n":"ghost-$it","z":"nowhere","t":"${stamp(it)}","s":"r","f":"$manyLoads"}"""
         }
@@ -57,7 +49,7 @@
     }
 
     @Test
-    fun `datagrams that can't be read do not fill the log`() = withCrowdedRouter(::respond) {
+    fun `datagrams that can't be read do not fill the log`() = withCrowdedRouter {
         send(process.peerAddress, SHORT_MESSAGES, SHORT_BURST) { "x".repeat(UNREADABLE_BYTES) }
         expectSoundBeside("unreadable datagrams")
         expectThat(process.log.lines().count { "unreadable" in it }).describedAs("lines about unreadable messages")
--- a/daemon/src/test/kotlin/comfreypath/daemon/UntrustedWaitsTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/UntrustedWaitsTest.kt
@@ -1,8 +1,6 @@
 package comfreypath.daemon
 
-import comfreypath.daemon.demo.PlatformFleet
 import comfreypath.platform.PlatformHeaders
-import comfreypath.standins.PlatformServerStandIn
 import kotlinx.collections.immutable.toImmutableList
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -19,8 +17,7 @@
         socket.receive(request.bodyLength)
         if (request.id.startsWith("held")) released.await()
         val body = if (request.id.startsWith("long")) "x".repeat(LONG_BODY_BYTES) else "ok"
-        val head = "HTTP/1.1 200 OK\r\nX-Response-Seal: ${PlatformServerStandIn.signature(request.id)}\r\n"
-        socket.send(head + "X-Attempt-Id: ${request.id}\r\nContent-Length: ${body.length}\r\n\r\n" + body)
+        socket.send(rawHead(request, "200 OK", "Content-Length: ${body.length}") + body)
     }
 
     /** Sends events until the router no longer reads them. */
@@ -42,8 +39,7 @@
     }
 
     /** The head and the body of a request for a stream. */
-    private fun streamRequest(id: String) = "POST /draft/x HTTP/1.1\r\nHost: ${PlatformFleet.HOST}\r\n" +
-        "${PlatformHeaders.REQUEST_ID}: $id\r\n${PlatformHeaders.AUTHORIZATION}: Token ${PlatformFleet.KEY}\r\n" +
+    private fun streamRequest(id: String) = requestLines(id, "/draft/x", "POST") +
         "${PlatformHeaders.MODEL}: m\r\n${PlatformHeaders.TOKEN_COUNTS}: 100,7000\r\n" +
         "${PlatformHeaders.PROMPT_PARTS}: 5c1e07a2:50,${Integer.toHexString(id.hashCode())}:50\r\n" +
         "Content-Length: 0\r\n\r\n"
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerMemory.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMemory.kt
@@ -47,7 +47,9 @@
  * is kept for peers that the store lists: those that it does not list hold half of it together.
  */
 internal class PeerMemory(private val limitBytes: Long) {
-    private class Held(val account: MemoryBudget.Account, val registered: Boolean)
+    private class Held(val account: MemoryBudget.Account, val registered: Boolean) {
+        val unregisteredBytes: Long get() = if (registered) 0 else account.bytes
+    }
 
     private val budget = MemoryBudget(limitBytes)
     private val held = HashMap<MessageSlot, Held>()
@@ -58,10 +60,11 @@
 
     /** True if there is room for a message of [bytes] bytes in [slot]. */
     fun admits(slot: MessageSlot, bytes: Int, registered: Boolean): Boolean {
-        val replaced = held[slot]?.account?.bytes ?: 0
-        val unregistered = unregisteredBytes - (if (held[slot]?.registered == false) replaced else 0) + bytes
-        val left = limitBytes - budget.usedBytes + replaced - bytes
-        return bytes <= left && (registered || unregistered <= limitBytes / UNREGISTERED_PARTS)
+        val before = held[slot]
+        val account = before?.account ?: budget.open()
+        val unregistered = unregisteredBytes - (before?.unregisteredBytes ?: 0) + bytes
+        return account.fits(bytes - account.bytes.toInt()) &&
+            (registered || unregistered <= limitBytes / UNREGISTERED_PARTS)
     }
 
     /** Holds a message of [bytes] bytes, for which there is room, in [slot]. */
@@ -69,8 +72,7 @@
         release(slot)
         val account = budget.open()
         if (account.add(bytes)) {
-            held[slot] = Held(account, registered)
-            if (!registered) unregisteredBytes += bytes
+            held[slot] = Held(account, registered).also { unregisteredBytes += it.unregisteredBytes }
         }
     }
 
@@ -79,7 +81,7 @@
 
     private fun release(slot: MessageSlot) {
         val released = held.remove(slot) ?: return
-        if (!released.registered) unregisteredBytes -= released.account.bytes
+        unregisteredBytes -= released.unregisteredBytes
         released.account.close()
     }
 }
--- a/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/MemoryBudget.kt
@@ -30,11 +30,14 @@
 
         /** Adds [count] bytes; returns false, and adds nothing, if there is no room or the account is closed. */
         fun add(count: Int): Boolean {
-            val fits = !closed && (count == 0 || bytes + count <= leftBytes - count)
+            val fits = fits(count)
             if (fits) change(count.toLong())
             return fits
         }
 
+        /** True if [add] would add [count] bytes. */
+        fun fits(count: Int): Boolean = !closed && (count == 0 || bytes + count <= leftBytes - count)
+
         /** Adds [count] bytes that are held already, although there may be no room. */
         internal fun hold(count: Int) {
             if (!closed) change(count.toLong())
--- a/transport/src/main/kotlin/comfreypath/transport/UnfinishedRequests.kt
+++ b/transport/src/main/kotlin/comfreypath/transport/UnfinishedRequests.kt
@@ -28,9 +28,6 @@
 internal class UnfinishedRequests {
     private val connections = LinkedHashSet<UnfinishedRequest>()
 
-    /** The number of open connections. */
-    val size: Int get() = connections.size
-
     /** Adds a connection that has opened. */
     fun add(connection: UnfinishedRequest) {
         connections += connection
