--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -51,10 +52,20 @@
         record.println(String.format("%7.3f %s", now() / 1000.0, line));
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    private static int nextPort = 12_000 + new Random().nextInt(8_000);
+
+    /** A port below the range of outgoing connections that is free for TCP and UDP. */
+    static synchronized int freePort() throws IOException {
+        for (int tries = 0; tries < 2_000; tries++) {
+            int port = nextPort++;
+            InetAddress loopback = InetAddress.getByName("127.0.0.1");
+            try (ServerSocket tcp = new ServerSocket(port, 1, loopback); DatagramSocket udp = new DatagramSocket(port, loopback)) {
+                return port;
+            } catch (IOException taken) {
+                // the next one
+            }
         }
+        throw new IOException("no free port");
     }
 
     // ---- processes -------------------------------------------------------------------------------------------------
@@ -270,14 +281,9 @@
                 }
             });
             beat();
-            background("beat " + id, () -> {
-                while (!stopped) {
-                    Thread.sleep(1_200);
-                    if (!stopped) beat();
-                }
-            });
         }
 
+        /** Writes the entry. A beat that changes nothing but `seq` changes no entry, so that none is written for it. */
         void beat() throws IOException {
             long cold = Math.max(0, warmAt - now());
             put("servers", id, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + socket.getLocalPort()
