--- a/review/rig-3/FewLeft.java
+++ b/review/rig-3/FewLeft.java
@@ -17,10 +17,8 @@
     private static final int SERVES_ON_MS = 1_500;
     private static final String[] ZONES = {"fi-south-a", "fi-south-b", "fi-south-c"};
 
-    public static void main(String[] arguments) throws Exception {
-        try (Rig rig = new Rig(arguments[0])) {
-            System.exit(run(rig) ? 0 : 1);
-        }
+    public static void main(String[] arguments) {
+        Rig.play(arguments[0], FewLeft::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/rig-3/LongPaths.java
+++ b/review/rig-3/LongPaths.java
@@ -11,10 +11,8 @@
     /** Below max_header_bytes, which is 16,384. */
     private static final int PATH_BYTES = 16_000;
 
-    public static void main(String[] arguments) throws Exception {
-        try (Rig rig = new Rig(arguments[0])) {
-            System.exit(run(rig) ? 0 : 1);
-        }
+    public static void main(String[] arguments) {
+        Rig.play(arguments[0], LongPaths::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/rig-3/NextVersion.java
+++ b/review/rig-3/NextVersion.java
@@ -16,10 +16,8 @@
     private static final int CANARY_SLACK = 50;
     private static final String[] ZONES = {"fi-south-a", "fi-south-b", "fi-south-c"};
 
-    public static void main(String[] arguments) throws Exception {
-        try (Rig rig = new Rig(arguments[0])) {
-            System.exit(run(rig) ? 0 : 1);
-        }
+    public static void main(String[] arguments) {
+        Rig.play(arguments[0], NextVersion::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
@@ -27,7 +25,6 @@
         List<String> routes = List.of(Rig.route("booking", "/booking/", "non_idempotent", "booking-app", DEADLINE, 1));
         rig.put("config", "main", Rig.configuration(7, routes, List.of(Rig.service("booking-app", 0, 0))));
         List<long[]> arrivals = new java.util.concurrent.CopyOnWriteArrayList<>();
-        AtomicInteger lost = new AtomicInteger();
         Rig.Handler handler = (server, request, out) -> {
             boolean bad = server.version.equals("v2") && Math.random() < BAD_SHARE;
             arrivals.add(new long[] {request.at, server.version.equals("v2") ? 1 : 0, bad ? 1 : 0});
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -119,6 +118,22 @@
         }
     }
 
+    interface Case {
+        /** Plays the case; returns whether the rule held. */
+        boolean run(Rig rig) throws Exception;
+    }
+
+    /** Plays a case that writes its record to [folder], and exits: 0 if the rule held, 1 if not, 2 if it couldn't run. */
+    static void play(String folder, Case body) {
+        int status = 2;
+        try (Rig rig = new Rig(folder)) {
+            status = body.run(rig) ? 0 : 1;
+        } catch (Exception failure) {
+            failure.printStackTrace();
+        }
+        System.exit(status);
+    }
+
     interface Check {
         boolean holds() throws Exception;
     }
@@ -513,6 +528,4 @@
             // is removed
         }
     }
-
-    final Map<String, Object> notes = new ConcurrentHashMap<>();
 }
