--- a/review/rig-3/FewLeft.java
+++ b/review/rig-3/FewLeft.java
@@ -29,7 +29,8 @@
         Map<String, Long> atLeaving = new ConcurrentHashMap<>();
         List<Rig.Server> booking = new ArrayList<>();
         for (String zone : ZONES) {
-            Rig.Server server = rig.new Server("i-" + Rig.newId().substring(0, 8), "booking-app", zone, "v1", 6, (self, request, out) -> {
+            String id = "i-" + Rig.newId().substring(0, 8);
+            Rig.Server server = rig.new Server(id, "booking-app", zone, "v1", 6, (self, request, out) -> {
                 if (self == booking.get(0)) atLeaving.put(request.id(), request.at);
                 Thread.sleep(86);
                 out.answer(200, self.headers(request), "answer to " + request.id());
@@ -49,8 +50,8 @@
         Thread.sleep(15_000);
         List<Rig.Router> left = new ArrayList<>();
         Random random = new Random();
-        for (int zone = 0; zone < 3; zone++) left.add(routers.get(zone + 3 * random.nextInt(PER_ZONE)));
-        rig.log("traffic begins at those that will be left: " + left.stream().map(it -> it.name).toList());
+        left.add(routers.get(random.nextInt(routers.size())));
+        rig.log("traffic begins at the one that will be left: " + left.stream().map(it -> it.name).toList());
         long end = rig.now() + 17_000;
         AtomicInteger answered = new AtomicInteger();
         AtomicInteger unanswered = new AtomicInteger();
@@ -106,8 +107,9 @@
         }
         Collections.sort(late);
         rig.log("answered 200: " + answered + ", otherwise or not: " + unanswered);
-        rig.log("requests sent later than " + DRAIN_MS + " ms after the acknowledgement that reached the draining server: "
-            + late.size() + (late.isEmpty() ? "" : ", the last one after " + late.get(late.size() - 1) + " ms"));
+        String last = late.isEmpty() ? "" : ", the last one after " + late.get(late.size() - 1) + " ms";
+        rig.log("requests sent later than " + DRAIN_MS
+            + " ms after the acknowledgement that reached the draining server: " + late.size() + last);
         rig.log(late.isEmpty() ? "held" : "BROKEN");
         return late.isEmpty();
     }
--- a/review/rig-3/NextVersion.java
+++ b/review/rig-3/NextVersion.java
@@ -34,13 +34,16 @@
         List<Rig.Server> second = new ArrayList<>();
         for (String version : new String[] {"v1", "v2"}) {
             for (String zone : ZONES) {
-                Rig.Server server = rig.new Server("i-" + Rig.newId().substring(0, 8), "booking-app", zone, version, 12, handler);
+                String id = "i-" + Rig.newId().substring(0, 8);
+                Rig.Server server = rig.new Server(id, "booking-app", zone, version, 12, handler);
                 if (version.equals("v2")) second.add(server);
                 if (version.equals("v1")) server.start();
             }
         }
         List<Rig.Router> routers = new ArrayList<>();
-        for (int i = 0; i < 6; i++) routers.add(rig.new Router("front-" + ZONES[i % 3] + "-" + (i / 3 + 1), ZONES[i % 3]));
+        for (int i = 0; i < 6; i++) {
+            routers.add(rig.new Router("front-" + ZONES[i % 3] + "-" + (i / 3 + 1), ZONES[i % 3]));
+        }
         for (Rig.Router router : routers) router.start(routers);
         rig.awaitReady(routers);
         Thread.sleep(4_000);
@@ -115,8 +118,9 @@
         double bound = CANARY_SHARE * all + CANARY_SLACK;
         long atBadBefore = inOrder.stream().filter(it -> it[1] == 1 && it[0] <= rolledBackAt).count();
         rig.log("answered 200: " + answered + ", otherwise or not: " + failed);
-        rig.log("requests at v2 until it was rolled back: " + atBadBefore + ", in all until the deadline: " + atBad + " of " + all
-            + "; the bound is " + bound + "; bad answers: " + badAnswers + "; later than " + ROLLBACK_MS + " ms after the 50th: " + late);
+        rig.log("requests at v2 until it was rolled back: " + atBadBefore + ", in all until the deadline: " + atBad
+            + " of " + all + "; the bound is " + bound + "; bad answers: " + badAnswers + "; later than " + ROLLBACK_MS
+            + " ms after the 50th: " + late);
         boolean broken = atBad > bound || late > 0;
         rig.log(broken ? "BROKEN" : "held");
         return !broken;
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -58,7 +58,10 @@
         for (int tries = 0; tries < 2_000; tries++) {
             int port = nextPort++;
             InetAddress loopback = InetAddress.getByName("127.0.0.1");
-            try (ServerSocket tcp = new ServerSocket(port, 1, loopback); DatagramSocket udp = new DatagramSocket(port, loopback)) {
+            try (
+                ServerSocket tcp = new ServerSocket(port, 1, loopback);
+                DatagramSocket udp = new DatagramSocket(port, loopback)
+            ) {
                 return port;
             } catch (IOException taken) {
                 // the next one
@@ -168,7 +171,8 @@
         }
 
         void start(List<Router> seeds) throws IOException {
-            String peers = String.join(",", seeds.stream().limit(3).map(it -> "127.0.0.1:" + it.peerPort).toList());
+            List<String> addresses = seeds.stream().limit(3).map(it -> "127.0.0.1:" + it.peerPort).toList();
+            String peers = String.join(",", addresses);
             Map<String, String> values = new LinkedHashMap<>();
             values.put("node_name", name);
             values.put("zone", zone);
--- a/review/rig-3/SlowReaders.java
+++ b/review/rig-3/SlowReaders.java
@@ -26,13 +26,15 @@
         List<String> routes = List.of(
             Rig.route("booking", "/booking/", "non_idempotent", "booking-app", DEADLINE, 1),
             Rig.route("draft", "/draft/", "streaming", "quote-model", STREAM_DEADLINE, 1));
-        String configuration = Rig.configuration(7, routes, List.of(Rig.service("booking-app", 0, 0), Rig.service("quote-model", 0, 0)));
+        List<String> services = List.of(Rig.service("booking-app", 0, 0), Rig.service("quote-model", 0, 0));
+        String configuration = Rig.configuration(7, routes, services);
         rig.put("config", "main", configuration.replaceAll("]}$",
             ",{\"name\":\"kesi412\",\"api_keys\":[\"" + OTHER_KEY + "\"],\"priority\":1}]}"));
         Map<String, String> ran = new ConcurrentHashMap<>();
         String[] zones = {"fi-south-a", "fi-south-b", "fi-south-c"};
         for (String zone : zones) {
-            rig.new Server("i-" + Rig.newId().substring(0, 8), "booking-app", zone, "v1", 6, (server, request, out) -> {
+            String bookingId = "i-" + Rig.newId().substring(0, 8);
+            rig.new Server(bookingId, "booking-app", zone, "v1", 6, (server, request, out) -> {
                 ran.put(request.id(), server.id);
                 Thread.sleep(20);
                 out.answer(200, server.headers(request), "answer to " + request.id());
@@ -81,7 +83,8 @@
                             result = "no answer: " + lost.getMessage();
                         }
                         boolean hasRun = ran.containsKey(id);
-                        rig.log("booking " + id + " at " + router.name + (hasRun ? " has run, " : " has not run, ") + result);
+                        String run = hasRun ? " has run, " : " has not run, ";
+                        rig.log("booking " + id + " at " + router.name + run + result);
                         if (during && first) (whole ? good : hasRun ? replaced : others).incrementAndGet();
                         if (during && !first && !whole) otherRouters.incrementAndGet();
                         Thread.sleep(100);
@@ -96,8 +99,9 @@
                     try (Socket socket = new Socket()) {
                         socket.setReceiveBufferSize(4_096);
                         socket.connect(new InetSocketAddress("127.0.0.1", routers.get(0).port), 1_000);
-                        String head = "GET /draft/2f HTTP/1.1\r\nHost: " + Rig.HOST + "\r\nX-Attempt-Id: " + Rig.newId()
-                            + "\r\nX-Deadline-Ms: " + STREAM_DEADLINE + "\r\nAuthorization: Token " + OTHER_KEY + "\r\n\r\n";
+                        String head = "GET /draft/2f HTTP/1.1\r\nHost: " + Rig.HOST
+                            + "\r\nX-Attempt-Id: " + Rig.newId() + "\r\nX-Deadline-Ms: " + STREAM_DEADLINE
+                            + "\r\nAuthorization: Token " + OTHER_KEY + "\r\n\r\n";
                         socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
                         held.incrementAndGet();
                         long until = rig.now() + STREAM_DEADLINE - 1_000;
--- a/review/rig-3/TenantNames.java
+++ b/review/rig-3/TenantNames.java
@@ -12,8 +12,9 @@
     private static final String[] KEYS = {"n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"};
 
     /** Two districts of Khangai, in Mongolian, or, without the trouble, in Latin letters. */
-    private static final String[] TENANTS =
-        Rig.TROUBLE ? new String[] {"\u0426\u0430\u0445\u0438\u0440", "\u0425\u0430\u0439\u0440\u0445"} : new String[] {"Tsakhir", "Khairkh"};
+    private static final String[] TENANTS = Rig.TROUBLE
+        ? new String[] {"\u0426\u0430\u0445\u0438\u0440", "\u0425\u0430\u0439\u0440\u0445"}
+        : new String[] {"Tsakhir", "Khairkh"};
 
     public static void main(String[] arguments) {
         Rig.play(arguments[0], TenantNames::run);
@@ -21,7 +22,9 @@
 
     private static String escaped(String text) {
         StringBuilder escaped = new StringBuilder();
-        for (char letter : text.toCharArray()) escaped.append(letter < 128 ? "" + letter : String.format("\\u%04x", (int) letter));
+        for (char letter : text.toCharArray()) {
+            escaped.append(letter < 128 ? "" + letter : String.format("\\u%04x", (int) letter));
+        }
         return escaped.toString();
     }
 
@@ -30,8 +33,8 @@
         List<String> routes = List.of(Rig.route("stamp", "/stamp/", "non_idempotent", "permit-desk", DEADLINE, 1));
         StringBuilder tenants = new StringBuilder("\"tenants\":[");
         for (int i = 0; i < 2; i++) {
-            tenants.append(i == 0 ? "" : ",").append("{\"name\":\"").append(escaped(TENANTS[i])).append("\",\"api_keys\":[\"")
-                .append(KEYS[i]).append("\"],\"priority\":1}");
+            tenants.append(i == 0 ? "" : ",").append("{\"name\":\"").append(escaped(TENANTS[i]))
+                .append("\",\"api_keys\":[\"").append(KEYS[i]).append("\"],\"priority\":1}");
         }
         String configuration = Rig.configuration(7, routes, List.of(Rig.service("permit-desk", 0, 0)));
         configuration = configuration.substring(0, configuration.indexOf("\"tenants\":")) + tenants + "]}";
@@ -75,10 +78,11 @@
             }
             String bytes = new String(header.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
             seenOf.get(tenant).merge(bytes, 1, Integer::sum);
-            rig.log("request " + id + " at " + router.name + " with the key of tenant " + escaped(TENANTS[tenant]) + " answered "
-                + status + ", ran with X-Tenant: " + escaped(bytes));
+            rig.log("request " + id + " at " + router.name + " with the key of tenant " + escaped(TENANTS[tenant])
+                + " answered " + status + ", ran with X-Tenant: " + escaped(bytes));
         }
-        rig.log("X-Tenant of the first tenant's requests: " + seenOf.get(0) + ", of the second's: " + seenOf.get(1) + "; not run: " + notRun);
+        rig.log("X-Tenant of the first tenant's requests: " + seenOf.get(0) + ", of the second's: " + seenOf.get(1)
+            + "; not run: " + notRun);
         boolean mixed = seenOf.get(0).keySet().stream().anyMatch(seenOf.get(1)::containsKey);
         rig.log(mixed ? "BROKEN: the server can't tell the tenants apart" : "held");
         return !mixed;
