Write texts into headers, paths and the log so that none looks like another

A team whose name has a control character got no request through.

Cause: headers hold one character for each byte, and texts of the configuration and the store were put into them as they are; the encoder writes `?` for every character above U+00FF.

--- a/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/RouterProcess.kt
@@ -11,7 +11,7 @@
 private const val BYTES_PER_KIBIBYTE = 1_024L
 
 /**
- * A router in a process of its own, with the memory that `deploy/system.toml` gives it.
+ * A router in a process of its own, with the memory that `deploy/system.toml` gives it and an ASCII environment.
  *
  * @param store the address of the object store
  * @param settings further settings, by name
@@ -53,7 +53,10 @@
                 "metrics-listen" to metricsAddress,
                 "object-store" to store,
             ).plus(settings).flatMap { (setting, value) -> listOf("--$setting", "$value") },
-    ).redirectErrorStream(true).apply { if (readsOutput) redirectOutput(output) }.start()
+    ).redirectErrorStream(true).apply {
+        environment() += mapOf("LANG" to "C", "LC_ALL" to "C")
+        if (readsOutput) redirectOutput(output)
+    }.start()
 
     /** True while the process runs. */
     val alive: Boolean get() = process.isAlive
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiCallerDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiCallerDialect.kt
@@ -18,12 +18,14 @@
 import comfreypath.router.request.RefusalCode
 import comfreypath.router.request.RouteAddress
 import comfreypath.router.telemetry.TRACE_PARENT
+import comfreypath.transport.HeaderText
 import comfreypath.transport.IncomingRequest
 import comfreypath.transport.decodeJson
 import comfreypath.transport.wireJson
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.collections.immutable.toImmutableList
+import java.net.URLEncoder
 import java.time.Instant
 
 /** Larger counts are implausible. */
@@ -44,7 +46,8 @@
  * @param instance makes the request IDs that this router assigns unique in the fleet
  * @param startedAt makes them unique across restarts of this router
  */
-class OpenAiCallerDialect(private val instance: InstanceName, startedAt: Instant) : CallerDialect {
+class OpenAiCallerDialect(instance: InstanceName, startedAt: Instant) : CallerDialect {
+    private val instanceText = URLEncoder.encode(instance.text, Charsets.UTF_8)
     private val incarnation = startedAt.toEpochMilli().toString(ID_RADIX)
     private var requestCount = 0L
 
@@ -103,7 +106,7 @@
         request.headers.get("content-type")?.let { forwarded.set("content-type", it) }
         request.headers.get(TRACE_PARENT)?.let { forwarded.set(TRACE_PARENT, it) }
         return CallerRequest(
-            id = RequestId("${instance.text}-$incarnation-${requestCount.toString(ID_RADIX)}"),
+            id = RequestId("$instanceText-$incarnation-${requestCount.toString(ID_RADIX)}"),
             address = facts.address,
             method = request.method,
             uri = facts.uri,
@@ -112,7 +115,8 @@
             timeBudget = null,
             apiKey = request.headers.get("authorization")
                 ?.takeIf { it.startsWith(KEY_SCHEME, ignoreCase = true) }
-                ?.substring(KEY_SCHEME.length),
+                ?.substring(KEY_SCHEME.length)
+                ?.let(HeaderText::decode),
             prompt = facts.prompt,
             lastEventId = request.headers.get(OpenAiHeaders.LAST_EVENT_ID)?.toLongOrNull(),
             receivedAt = receivedAt,
--- a/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
+++ b/openai/src/main/kotlin/comfreypath/openai/OpenAiEndpointDialect.kt
@@ -7,6 +7,7 @@
 import comfreypath.router.request.EndpointResponseHead
 import comfreypath.router.request.SendPlan
 import comfreypath.router.request.StreamEvent
+import comfreypath.transport.HeaderText
 import comfreypath.transport.RequestHead
 import comfreypath.transport.decodeJson
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -28,8 +29,8 @@
         headers.set("host", "${plan.endpoint.host}:${plan.endpoint.port}")
         headers.set(OpenAiHeaders.REQUEST_ID, request.id.text)
         headers.set(OpenAiHeaders.TIME_LEFT, plan.timeLeft.toMillis())
-        headers.set(OpenAiHeaders.EXPECTED_ENDPOINT, plan.endpoint.name.text)
-        plan.team?.let { headers.set(OpenAiHeaders.TEAM, it.text) }
+        headers.set(OpenAiHeaders.EXPECTED_ENDPOINT, HeaderText.encode(plan.endpoint.name.text))
+        plan.team?.let { headers.set(OpenAiHeaders.TEAM, HeaderText.encode(it.text)) }
         plan.priority?.let { headers.set(OpenAiHeaders.PRIORITY, it) }
         plan.lastEventId?.let { headers.set(OpenAiHeaders.LAST_EVENT_ID, it) }
         return RequestHead(request.method, request.uri, headers)
--- a/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
+++ b/router/src/main/kotlin/comfreypath/router/telemetry/EventLog.kt
@@ -17,6 +17,9 @@
 
 /** Longer values, which callers may choose, are cut. */
 private const val MAX_VALUE_CHARACTERS = 1_024
+private const val HEX_RADIX = 16
+private const val HEX_DIGITS = 4
+private const val FIRST_ESCAPED = '\u007f'
 
 /** The time in which lines are collected for one write. It is the most that a crash of the process loses. */
 private const val BATCHING_MILLISECONDS = 20L
@@ -61,7 +64,7 @@
                 }
             }
         }
-        queue(line.toString())
+        queue(line.toString().inAscii())
     }
 
     private fun queue(line: String) {
@@ -105,3 +108,11 @@
         }
     }
 }
+
+/** This JSON with escapes for all but ASCII, since the encoding of the output depends on the environment. */
+private fun String.inAscii(): String = if (all { it < FIRST_ESCAPED }) {
+    this
+} else {
+    map { if (it < FIRST_ESCAPED) it.toString() else "\\u" + it.code.toString(HEX_RADIX).padStart(HEX_DIGITS, '0') }
+        .joinToString("")
+}
