Remember versions that were found to be bad beyond the order that tried them

Cause: what a rollout finds ended with its order, and to the next one every version but its target counts as one that served before. The same after the entry was removed, for routers that start later, and for a version whose rollout was replaced before it was judged.

Bad ones are recorded in the status that routers write anyway, and told to peers.

--- a/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/fleet/PeerStatus.kt
@@ -31,6 +31,7 @@
  * @property storeOutageEndedMilliseconds time since the last failure of that kind of a second or more ended; null if it
  * was long ago
  * @property departures endpoints that have left the sender's list lately; null if there are none
+ * @property badVersions keys of the versions that the sender knows to be bad, from the hashes of service and version
  */
 @Serializable
 data class PeerStatus(
@@ -50,6 +51,7 @@
     @SerialName("u") val storeFailingMilliseconds: Long = 0,
     @SerialName("v") val storeOutageEndedMilliseconds: Long? = null,
     @SerialName("d") val departures: Departures? = null,
+    @SerialName("b") val badVersions: List<Int> = emptyList(),
 )
 
 /**
--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/Rollout.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/Rollout.kt
@@ -2,6 +2,8 @@
 
 import comfreypath.coordination.model.ServiceName
 import comfreypath.coordination.model.VersionName
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 import java.time.Duration
 
 /** The progress of a rollout. */
@@ -23,6 +25,7 @@
  * @property state the last state that the fleet recorded; null while no router has started the rollout
  * @property stateTarget the target that [state] refers to; differs from [target] when the operator has since requested
  * another version in the same object
+ * @property badVersions other versions that earlier rollouts of the object found to be bad, as the fleet recorded
  */
 data class Rollout(
     val service: ServiceName,
@@ -30,4 +33,5 @@
     val duration: Duration,
     val state: RolloutState?,
     val stateTarget: VersionName?,
+    val badVersions: ImmutableSet<VersionName> = persistentSetOf(),
 )
--- a/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
+++ b/coordination/src/test/kotlin/comfreypath/coordination/fleet/PeerStatusWireFormatTest.kt
@@ -69,6 +69,12 @@
             .isEqualTo(text.dropLast(1) + ""","u":1500}""")
     }
 
+    @Test
+    fun `bad versions are added as this text`() {
+        expectThat(Json.encodeToString(status.copy(badVersions = listOf(10, -11))))
+            .isEqualTo(text.dropLast(1) + ""","b":[10,-11]}""")
+    }
+
     @Test
     fun `fields with their default value are omitted`() {
         val idle = PeerStatus(InstanceName("front-1"), DataCentreName("south-a"), StatusStamp(0, 0))
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerGossip.kt
@@ -136,6 +136,12 @@
     /** The reports on open rollouts to send to peers; null if there are none. */
     var rolloutReports: () -> RolloutReports? = { null }
 
+    /** The keys of the bad versions to tell peers. */
+    var badVersions: () -> List<Int> = { emptyList() }
+
+    /** Called with the keys of the bad versions of which a peer has told. */
+    var onBadVersions: (List<Int>) -> Unit = {}
+
     /** Called for the reports on open rollouts that a peer has sent. */
     var onRolloutReports: (InstanceName, RolloutReports) -> Unit = { _, _ -> }
 
@@ -217,6 +223,7 @@
             storeFailingMilliseconds = store.failingFor.toMillis(),
             storeOutageEndedMilliseconds = outages.ownEndedAgo?.toMillis(),
             departures = view.endpoints.departuresToTell(),
+            badVersions = badVersions(),
         )
 
     private fun receive(status: PeerStatus, sender: Address, bytes: Int) {
@@ -231,6 +238,7 @@
             if (isLatest && status.from in liveNames) directLoads.put(status.from, status.inFlight, context.now())
             status.rollouts?.takeIf { isLatest }?.let { onRolloutReports(status.from, it) }
             if (isLatest) outages.heard(status)
+            if (isLatest && status.badVersions.isNotEmpty()) onBadVersions(status.badVersions)
             status.departures?.let { view.endpoints.hear(it, status.from) }
             if (status.from !in state.peers && status.from != state.self) messages.dropUnknown(status.from)
             isLatest
--- a/router/src/main/kotlin/comfreypath/router/peers/PeerMemory.kt
+++ b/router/src/main/kotlin/comfreypath/router/peers/PeerMemory.kt
@@ -89,7 +89,7 @@
 /** The memory that this status message of [size] bytes holds. */
 internal fun PeerStatus.heldBytes(size: Int): Int {
     val reports = partReports.sumOf { 1 + it.crashes.size } + (rollouts?.reports?.size ?: 0)
-    val entries = inFlight.counts.size + digests.size + (departures?.revisions?.size ?: 0) + reports
+    val entries = inFlight.counts.size + digests.size + (departures?.revisions?.size ?: 0) + reports + badVersions.size
     return MESSAGE_BYTES + BYTES_PER_CHARACTER * size + ENTRY_BYTES * entries
 }
 
--- a/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/RolloutDriver.kt
@@ -3,6 +3,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import comfreypath.coordination.facts.StoreVersion
+import comfreypath.coordination.model.ServiceName
+import comfreypath.coordination.model.VersionName
 import comfreypath.coordination.rollout.RolloutAction
 import comfreypath.coordination.rollout.RolloutController
 import comfreypath.coordination.rollout.RolloutEvent
@@ -14,21 +16,29 @@
 import comfreypath.router.store.ObjectStore
 import comfreypath.router.store.StoreError
 import comfreypath.router.store.StoredObject
+import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.time.Instant
 
+/**
+ * The store's object of a rollout.
+ *
+ * @property badVersions the versions of a service that were found to be bad, which are recorded with the progress
+ */
+internal class RolloutObject(val name: String, val badVersions: (ServiceName) -> Set<VersionName>)
+
 /**
  * Executes the actions of the [RolloutController] for one rollout, and logs its decisions.
  *
- * @param name the name of the rollout's object
+ * @param target the rollout's object
  * @param announce sends a status message to all peers soon if the argument is true
  */
 internal class RolloutDriver(
     private val context: RouterContext,
     private val store: ObjectStore,
-    private val name: String,
+    private val target: RolloutObject,
     order: Rollout,
     revision: Long,
     private val announce: (Boolean) -> Unit,
@@ -93,8 +103,12 @@
     }
 
     private suspend fun write(action: RolloutAction.Write): RolloutEvent {
-        val value = action.order.copy(state = action.state, stateTarget = action.order.target)
-        val result = store.replaceStatus(ObjectKinds.ROLLOUTS, name, value, action.expectedRevision)
+        val value = action.order.copy(
+            state = action.state,
+            stateTarget = action.order.target,
+            badVersions = (target.badVersions(action.order.service) - action.order.target).toImmutableSet(),
+        )
+        val result = store.replaceStatus(ObjectKinds.ROLLOUTS, target.name, value, action.expectedRevision)
         record(
             "rollout_write",
             "state" to action.state,
@@ -106,7 +120,7 @@
     }
 
     private suspend fun read(): RolloutEvent {
-        val result = store.read(ObjectKinds.ROLLOUTS, name)
+        val result = store.read(ObjectKinds.ROLLOUTS, target.name)
         record("rollout_read", result.outcome())
         val stored = result.fold({ it }, { null })
         return stored?.let { toWriteDone(it) } ?: RolloutEvent.ReadFailed
--- a/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
+++ b/router/src/main/kotlin/comfreypath/router/rollout/VersionRollouts.kt
@@ -14,6 +14,7 @@
 import comfreypath.coordination.rollout.RolloutReport
 import comfreypath.coordination.rollout.RolloutReports
 import comfreypath.coordination.rollout.RouteEvidence
+import comfreypath.coordination.rollout.ServiceVersion
 import comfreypath.coordination.rollout.VersionFilter
 import comfreypath.coordination.rollout.VersionRequest
 import comfreypath.coordination.routing.Endpoint
@@ -42,6 +43,7 @@
 ) {
     private val latencies = LatencyBaselines()
     private val ranks = StoreWatcherSelector()
+    private val withdrawals = VersionWithdrawals(context, view.endpoints)
     private val drivers = HashMap<String, RolloutDriver>()
     private var byService: Map<ServiceName, RolloutDriver> = emptyMap()
 
@@ -50,6 +52,11 @@
         view.rollouts.onChange(::follow)
         peers.rolloutReports = ::reports
         peers.onRolloutReports = ::receive
+        peers.badVersions = withdrawals::toTell
+        peers.onBadVersions = { keys ->
+            val orders = drivers.values.map { it.progress.order }
+            withdrawals.hear(keys, targets = orders.mapTo(HashSet()) { ServiceVersion(it.service, it.target) })
+        }
         // While a record is due, this router waits for those that are to write it first.
         peers.probes.relyOn { fleet ->
             drivers.values.map { it.progress }.filter { it.write.goal != null }
@@ -59,6 +66,7 @@
         context.launchLoop("advance rollouts") {
             context.ticker.await()
             drivers.values.forEach(::tick)
+            withdrawals.tick(drivers.values.map { it.progress })
         }
     }
 
@@ -66,15 +74,24 @@
         val orders = view.rollouts.values
         // An order that has become unreadable stays in force.
         drivers.keys.filter { view.rollouts.revisionOf(it) == null && it !in orders }.forEach {
-            drivers.remove(
-                it
-            )?.close()
+            drivers.remove(it)?.let { driver ->
+                withdrawals.removed(driver.progress)
+                driver.close()
+            }
         }
         orders.forEach { (name, order) ->
             val revision = view.rollouts.revisionOf(name) ?: drivers[name]?.progress?.revision ?: 0
             val driver = drivers[name]
+            withdrawals.ordered(order, driver?.progress)
             if (driver == null) {
-                drivers[name] = RolloutDriver(context, store, name, order, revision, peers::announceUpdate)
+                drivers[name] = RolloutDriver(
+                    context,
+                    store,
+                    RolloutObject(name, withdrawals::badVersionsOf),
+                    order,
+                    revision,
+                    peers::announceUpdate,
+                )
             } else {
                 driver.step(RolloutEvent.OrderReceived(order, revision))
             }
@@ -102,7 +119,9 @@
 
     /** Those of [endpoints] whose version may receive the request of [exchange]. */
     fun allowed(endpoints: List<Endpoint>, exchange: CallerExchange, retry: Boolean): List<Endpoint> {
-        val driver = endpoints.firstOrNull()?.let { byService[it.service] } ?: return endpoints
+        val driver = endpoints.firstOrNull()?.let { byService[it.service] }
+        val usable = withdrawals.allowed(endpoints, driver?.progress?.order?.target)
+        if (driver == null) return usable
         val request = VersionRequest(
             route = RolloutReport.routeKey(exchange.route.name),
             hash = unitInterval(mix(chatHash(exchange), VERSION_SALT)),
@@ -111,7 +130,7 @@
         )
         return VersionFilter(
             context.options.bounds.rollouts
-        ).allowed(driver.progress, request, endpoints, context.now())
+        ).allowed(driver.progress, request, usable, context.now())
     }
 
     /**
--- a/router/src/test/kotlin/comfreypath/router/rollout/RolloutDriverTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/rollout/RolloutDriverTest.kt
@@ -40,7 +40,9 @@
         withTimeout(TIMEOUT_MILLISECONDS) { test() }
     }
 
-    private fun driver(revision: Long) = RolloutDriver(context, store, NAME, order, revision) {}
+    private val target = RolloutObject(NAME) { emptySet() }
+
+    private fun driver(revision: Long) = RolloutDriver(context, store, target, order, revision) {}
 
     private val recorded get() = checkNotNull(store.find<Rollout>(NAME)).value.component1()
 
--- a/router/src/test/kotlin/comfreypath/router/rollout/VersionRolloutsTest.kt
+++ b/router/src/test/kotlin/comfreypath/router/rollout/VersionRolloutsTest.kt
@@ -34,6 +34,8 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.doesNotContain
 import strikt.assertions.isEqualTo
 import java.time.Duration
 
@@ -118,8 +120,67 @@
         expectThat(allowed()).isEqualTo(listOf("old"))
         list(listOf(Err("an odd value")))
         expectThat(allowed()).isEqualTo(listOf("old"))
+    }
+
+    private fun order(target: String, state: RolloutState? = null, stateTarget: String? = null) = Rollout(
+        service = service,
+        target = VersionName(target),
+        duration = Duration.ofSeconds(10),
+        state = state,
+        stateTarget = stateTarget?.let { VersionName(it) },
+    )
+
+    private val rolledBack = order("v2", RolloutState.ROLLED_BACK, "v2")
+
+    /** The endpoints to which the first attempt of a request, and a retry, may be sent now. */
+    private fun served(): Set<String> {
+        val usable = listOf(endpoint("old", "v1"), endpoint("bad", "v2"), endpoint("next", "v3"))
+        val first = rollouts.allowed(usable, exchange, retry = false)
+        return (first + rollouts.allowed(usable, exchange, retry = true)).map { it.name.text }.toSet()
+    }
+
+    @Test
+    fun `a version that was rolled back gets no traffic when the next one is ordered`() {
+        rollouts.start()
+        list(listOf(Ok(rolledBack)))
+        list(listOf(Ok(order("v3", RolloutState.ROLLED_BACK, "v2"))))
+        expectThat(served()).doesNotContain("bad")
+    }
+
+    @Test
+    fun `a version that was rolled back gets no traffic when its order is removed, or made anew for another version`() {
+        rollouts.start()
+        list(listOf(Ok(rolledBack)))
         list(emptyList())
-        expectThat(allowed()).isEqualTo(listOf("old", "new"))
+        expectThat(served()).isEqualTo(setOf("old", "next"))
+        list(listOf(Ok(order("v3"))))
+        expectThat(served()).doesNotContain("bad")
+    }
+
+    @Test
+    fun `a router that starts after the next order reads from its status which versions were bad`() {
+        rollouts.start()
+        list(listOf(Ok(order("v3", RolloutState.ROLLED_BACK, "v2"))))
+        expectThat(served()).doesNotContain("bad")
+    }
+
+    @Test
+    fun `a version that was not completed does not count as one that served before`() {
+        rollouts.start()
+        list(listOf(Ok(order("v2", RolloutState.RUNNING, "v2"))))
+        list(listOf(Ok(order("v3", RolloutState.RUNNING, "v2"))))
+        expectThat(served()).doesNotContain("bad")
+    }
+
+    @Test
+    fun `a version that was rolled back is tried again once it is ordered, and serves once it is completed`() {
+        rollouts.start()
+        list(listOf(Ok(rolledBack)))
+        list(listOf(Ok(order("v1", RolloutState.COMPLETED, "v1"))))
+        list(listOf(Ok(order("v2", RolloutState.COMPLETED, "v2"))))
+        expectThat(served()).contains("bad")
+        list(listOf(Ok(order("v3", RolloutState.RUNNING, "v3"))))
+        expectThat(served()).contains("bad")
     }
 
     private object UnusedWriter : ResponseWriter {
