--- a/coordination/src/main/kotlin/comfreypath/coordination/routing/Rollout.kt
+++ b/coordination/src/main/kotlin/comfreypath/coordination/routing/Rollout.kt
@@ -34,4 +34,8 @@
     val state: RolloutState?,
     val stateTarget: VersionName?,
     val badVersions: ImmutableSet<VersionName> = persistentSetOf(),
-)
+) {
+    /** The text in log lines, without bad versions if there are none. */
+    override fun toString(): String = "Rollout(service=$service, target=$target, duration=$duration, state=$state, " +
+        "stateTarget=$stateTarget" + (if (badVersions.isEmpty()) "" else ", badVersions=$badVersions") + ")"
+}
