Wait in TextsInHeadersTest for a key that is new

The log of the router shows why: the first configuration has key-1 too, so that the probe for the new keys passed 5 ms before the new version was applied. The keys are new ones now; what is expected stays.

--- a/daemon/src/test/kotlin/comfreypath/daemon/TextsInHeadersTest.kt
+++ b/daemon/src/test/kotlin/comfreypath/daemon/TextsInHeadersTest.kt
@@ -30,6 +30,7 @@
         "UTF-8''c%0A", "d\u0000",
     )
 
+    /** Waits until the last of [teams] is in force; its first key must be one that no team had before. */
     private suspend fun PlatformFixture.useTeams(teams: List<Team>) {
         fleet.storeAdmin.updateConfiguration { it.copy(teams = teams.toImmutableList()) }
         val last = teams.last().apiKeys.first()
@@ -56,8 +57,8 @@
 
     @Test
     fun `a team's name arrives in UTF-8`() = PlatformFixture().run {
-        useTeams(listOf(Team(TeamName("\u0426\u0430\u0445\u0438\u0440"), persistentListOf("key-1"), priority = null)))
-        call(PlatformRequest("history", "n1", key = "key-1"))
+        useTeams(listOf(Team(TeamName("\u0426\u0430\u0445\u0438\u0440"), persistentListOf("new-1"), priority = null)))
+        call(PlatformRequest("history", "n1", key = "new-1"))
         val bytes = headerSeen("n1")?.toByteArray(Charsets.ISO_8859_1)
         expectThat(bytes?.decodeToString()).isEqualTo("\u0426\u0430\u0445\u0438\u0440")
     }
@@ -65,7 +66,7 @@
     @Test
     fun `a key beyond Latin letters is accepted as its UTF-8 bytes, and another one is not`() = PlatformFixture().run {
         val key = "\u043a\u043b\u044e\u0447-1"
-        useTeams(listOf(Team(TeamName("team"), persistentListOf("key-1", key), priority = null)))
+        useTeams(listOf(Team(TeamName("team"), persistentListOf("new-1", key), priority = null)))
         fun sent(text: String) = text.encodeToByteArray().toString(Charsets.ISO_8859_1)
         expectThat(call(PlatformRequest("history", "k1", key = sent(key)))?.status).isEqualTo(SUCCESS)
         val other = call(PlatformRequest("history", "k2", key = sent("\u043a\u043b\u044e\u0447-2")))
